Set down the layers, the core types and the decisions

Cause: the system needs a shape that the whole code base keeps to: layers state, coordination, protocol, transport; strong types; variants; ranked locks.

--- /dev/null
+++ b/src/coordination/journal_placement.cpp
@@ -0,0 +1,61 @@
+#include "coordination/journal_placement.hpp"
+
+#include "coordination/rendezvous.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace auburnweir::coordination
+{
+
+namespace
+{
+
+void sort_by_weight(state::request_id const& request, std::vector<state::instance>& all)
+{
+    auto const weight = [&](state::instance const& i)
+    { return rendezvous_weight(request.str(), i.id.str()); };
+    std::sort(
+        all.begin(), all.end(),
+        [&](state::instance const& a, state::instance const& b) { return weight(a) > weight(b); });
+}
+
+} // namespace
+
+std::vector<state::instance> replica_order(
+    state::request_id const& request, state::instance const& owner,
+    std::vector<state::instance> const& live)
+{
+    std::vector<state::instance> others;
+    for (auto const& i : live)
+        if (i.id != owner.id && i.failure_domain != owner.failure_domain && !i.leaving)
+            others.push_back(i);
+    sort_by_weight(request, others);
+    std::stable_partition(
+        others.begin(), others.end(),
+        [&](state::instance const& i) { return i.region == owner.region; });
+    return others;
+}
+
+std::vector<state::instance> lookup_order(
+    state::request_id const& request, std::vector<state::instance> const& live,
+    std::size_t per_domain)
+{
+    auto sorted = live;
+    sort_by_weight(request, sorted);
+    std::map<state::failure_domain_id, std::size_t> taken;
+    std::vector<state::instance> first;
+    std::vector<state::instance> rest;
+    for (auto const& i : sorted)
+    {
+        auto const rank = taken[i.failure_domain]++;
+        if (rank == 0)
+            first.push_back(i);
+        else if (rank < per_domain)
+            rest.push_back(i);
+    }
+    first.insert(first.end(), rest.begin(), rest.end());
+    return first;
+}
+
+} // namespace auburnweir::coordination
--- /dev/null
+++ b/src/coordination/outlier_detector.cpp
@@ -0,0 +1,25 @@
+#include "coordination/outlier_detector.hpp"
+
+#include <algorithm>
+
+namespace auburnweir::coordination
+{
+
+namespace
+{
+constexpr int most_doublings = 10;
+}
+
+std::optional<state::time_point> outlier_detector::ejection_end(
+    state::backend_view const& view, double ejected_share, state::time_point now) const
+{
+    if (view.consecutive_failures < settings_.failures_to_eject)
+        return std::nullopt;
+    if (ejected_share >= settings_.most_ejected)
+        return std::nullopt;
+    auto const doublings = std::min(view.ejections, most_doublings);
+    auto const length = settings_.base_ejection * (1 << doublings);
+    return now + std::min<state::duration>(length, settings_.longest_ejection);
+}
+
+} // namespace auburnweir::coordination
--- /dev/null
+++ b/src/coordination/outlier_detector.hpp
@@ -0,0 +1,42 @@
+#ifndef AUBURNWEIR_COORDINATION_OUTLIER_DETECTOR_HPP
+#define AUBURNWEIR_COORDINATION_OUTLIER_DETECTOR_HPP
+
+#include "state/backend_table.hpp"
+#include "state/time.hpp"
+
+#include <optional>
+
+namespace auburnweir::coordination
+{
+
+/// Limits of outlier ejection.
+struct outlier_settings
+{
+    int failures_to_eject = 5;
+    state::duration base_ejection = std::chrono::seconds{2}; ///< doubles with each ejection
+    state::duration longest_ejection = std::chrono::seconds{60};
+    double most_ejected = 0.5; ///< share of a service's backend servers
+};
+
+/// Decides whether a failing backend server stops getting work for a while.
+class outlier_detector
+{
+public:
+    explicit outlier_detector(outlier_settings settings)
+        : settings_(settings)
+    {
+    }
+
+    /// @param view           the backend server after the failure was recorded
+    /// @param ejected_share  share of the service's backend servers that are ejected already
+    /// @return the end of the ejection, or null to keep it
+    std::optional<state::time_point> ejection_end(
+        state::backend_view const& view, double ejected_share, state::time_point now) const;
+
+private:
+    outlier_settings settings_;
+};
+
+} // namespace auburnweir::coordination
+
+#endif
--- /dev/null
+++ b/src/state/ids.hpp
@@ -0,0 +1,52 @@
+#ifndef AUBURNWEIR_STATE_IDS_HPP
+#define AUBURNWEIR_STATE_IDS_HPP
+
+#include "state/quantity.hpp"
+#include "state/strong_id.hpp"
+
+#include <cstdint>
+
+/// Identifiers and units shared by all layers.
+namespace auburnweir::state
+{
+
+using request_id = strong_id<struct request_tag>;
+using organisation_id = strong_id<struct organisation_tag>;
+using service_id = strong_id<struct service_tag>;
+using operation_name = strong_id<struct operation_tag>;
+using backend_id = strong_id<struct backend_tag>;
+using instance_id = strong_id<struct instance_tag>;
+using failure_domain_id = strong_id<struct failure_domain_tag>;
+using region_id = strong_id<struct region_tag>;
+using version_id = strong_id<struct version_tag>;
+
+/// Key under which a caller asks for an operation at most once.
+using idempotency_key = strong_id<struct idempotency_key_tag>;
+
+/// Unique to one try of one request; results of other tries are dropped by it.
+using attempt_token = strong_id<struct attempt_tag>;
+
+/// Lower-case hexadecimal SHA-256.
+using sha256_digest = strong_id<struct sha256_tag>;
+
+using token_count = quantity<struct token_unit, std::int64_t>;
+using byte_count = quantity<struct byte_unit, std::int64_t>;
+
+/// Position of a token in an answer, from 1.
+using sequence_number = quantity<struct sequence_unit, std::uint64_t>;
+
+/// Version of a row in the table service; 0 means that the row is absent.
+using row_version = quantity<struct row_version_unit, std::uint64_t>;
+
+/// Grows with each holder of a lease.
+using fencing_number = quantity<struct fencing_unit, std::uint64_t>;
+
+/// Distinguishes processes that follow each other at one address.
+using incarnation = quantity<struct incarnation_unit, std::uint64_t>;
+
+/// Millionths of the deployment's currency an hour.
+using price_per_hour = quantity<struct price_unit, std::int64_t>;
+
+} // namespace auburnweir::state
+
+#endif
--- /dev/null
+++ b/src/state/instance.hpp
@@ -0,0 +1,25 @@
+#ifndef AUBURNWEIR_STATE_INSTANCE_HPP
+#define AUBURNWEIR_STATE_INSTANCE_HPP
+
+#include "state/configuration.hpp"
+#include "state/ids.hpp"
+
+namespace auburnweir::state
+{
+
+/// An entry instance of the system, as the platform's list or a peer describes it.
+struct instance
+{
+    instance_id id;
+    incarnation epoch;
+    failure_domain_id failure_domain;
+    region_id region;
+    endpoint peer_address;
+    bool leaving = false;
+
+    friend bool operator==(instance const&, instance const&) = default;
+};
+
+} // namespace auburnweir::state
+
+#endif
--- /dev/null
+++ b/src/state/journal.cpp
@@ -0,0 +1,349 @@
+#include "state/journal.hpp"
+
+#include <algorithm>
+
+namespace auburnweir::state
+{
+
+std::string_view name_of(finish_reason reason)
+{
+    switch (reason)
+    {
+    case finish_reason::stop:
+        return "stop";
+    case finish_reason::length:
+        return "length";
+    case finish_reason::failed:
+        break;
+    }
+    return "failed";
+}
+
+journal::journal(chat_request request, instance_id owner, generation_tag generation)
+    : request_(std::move(request))
+    , owner_(std::move(owner))
+    , lineage_{{std::move(generation), open_end}}
+{
+}
+
+instance_id journal::owner() const
+{
+    ranked_lock lock(mutex_);
+    return owner_;
+}
+
+void journal::adopt(instance_id owner, generation_tag generation)
+{
+    ranked_lock lock(mutex_);
+    owner_ = std::move(owner);
+    lineage_.back().upto = sequence_number{tokens_.size()};
+    lineage_.push_back({std::move(generation), open_end});
+}
+
+generation_lineage journal::lineage() const
+{
+    ranked_lock lock(mutex_);
+    return lineage_;
+}
+
+void journal::take_lineage(generation_lineage lineage)
+{
+    ranked_lock lock(mutex_);
+    if (!lineage.empty())
+        lineage_ = std::move(lineage);
+}
+
+bool journal::can_resume(resume_point const& point) const
+{
+    ranked_lock lock(mutex_);
+    if (point.after.count() == 0)
+        return true;
+    if (point.generation.empty())
+        return point.after <= lineage_.front().upto;
+    auto const span = std::find_if(
+        lineage_.begin(), lineage_.end(),
+        [&](generation_span const& s) { return s.tag == point.generation; });
+    return span != lineage_.end() && point.after <= span->upto;
+}
+
+void journal::begin_attempt(attempt_token const& token)
+{
+    ranked_lock lock(mutex_);
+    current_ = token;
+}
+
+append_result journal::append(attempt_token const& attempt, std::string token)
+{
+    {
+        ranked_lock lock(mutex_);
+        if (attempt != current_)
+            return append_result::superseded;
+        if (finish_)
+            return append_result::closed;
+        tokens_.push_back(std::move(token));
+    }
+    notify();
+    return append_result::appended;
+}
+
+append_result journal::finish(attempt_token const& attempt, finish_reason reason)
+{
+    {
+        ranked_lock lock(mutex_);
+        if (attempt != current_)
+            return append_result::superseded;
+        if (finish_)
+            return append_result::closed;
+        finish_ = reason;
+    }
+    notify();
+    return append_result::appended;
+}
+
+append_result journal::fail(refusal_reason reason)
+{
+    {
+        ranked_lock lock(mutex_);
+        if (finish_)
+            return append_result::closed;
+        finish_ = finish_reason::failed;
+        failure_ = reason;
+        current_ = attempt_token{};
+    }
+    notify();
+    return append_result::appended;
+}
+
+append_result journal::merge(journal_part const& part)
+{
+    {
+        ranked_lock lock(mutex_);
+        auto const have = tokens_.size();
+        auto const first = part.first.count();
+        if (first == 0 || first > have + 1)
+            return append_result::gap;
+        auto const end = first - 1 + part.tokens.size();
+        auto const overlap_end = std::min<std::size_t>(have, end);
+        for (auto i = first - 1; i < overlap_end; ++i)
+            if (tokens_[i] != part.tokens[i - (first - 1)])
+                return append_result::diverged;
+        bool const adds_tokens = end > have;
+        bool const ends = part.finish && !finish_ && end >= have;
+        if (finish_ && adds_tokens)
+            return append_result::closed;
+        if (!adds_tokens && !ends)
+            return append_result::duplicate;
+        for (auto i = have; i < end; ++i)
+            tokens_.push_back(part.tokens[i - (first - 1)]);
+        if (ends)
+            finish_ = part.finish;
+    }
+    notify();
+    return append_result::appended;
+}
+
+void journal::hold()
+{
+    ranked_lock lock(mutex_);
+    held_ = true;
+    released_ = tokens_.size();
+}
+
+void journal::release(sequence_number upto)
+{
+    {
+        ranked_lock lock(mutex_);
+        released_ = std::max<std::size_t>(released_, std::min(upto.count(), tokens_.size()));
+    }
+    notify();
+}
+
+void journal::release_all()
+{
+    {
+        ranked_lock lock(mutex_);
+        held_ = false;
+    }
+    notify();
+}
+
+void journal::yield_to(instance_id owner)
+{
+    {
+        ranked_lock lock(mutex_);
+        if (held_ && !finish_)
+            tokens_.resize(released_);
+        held_ = false;
+        current_ = attempt_token{};
+        owner_ = std::move(owner);
+    }
+    notify();
+}
+
+journal_part journal::part_after(sequence_number after, std::size_t end) const
+{
+    journal_part part;
+    part.first = after + sequence_number{1};
+    auto const begin = std::min<std::size_t>(after.count(), end);
+    part.tokens.assign(
+        tokens_.begin() + static_cast<std::ptrdiff_t>(begin),
+        tokens_.begin() + static_cast<std::ptrdiff_t>(end));
+    if (end == tokens_.size())
+        part.finish = finish_;
+    return part;
+}
+
+journal_part journal::read_after(sequence_number after, std::size_t limit) const
+{
+    ranked_lock lock(mutex_);
+    auto const visible = held_ ? released_ : tokens_.size();
+    auto const wanted = std::min<std::size_t>(after.count(), visible) + limit;
+    return part_after(after, std::min(visible, wanted));
+}
+
+journal_part journal::read_unreleased_after(sequence_number after) const
+{
+    ranked_lock lock(mutex_);
+    return part_after(after, tokens_.size());
+}
+
+sequence_number journal::last() const
+{
+    ranked_lock lock(mutex_);
+    return sequence_number{tokens_.size()};
+}
+
+std::optional<finish_reason> journal::finished() const
+{
+    ranked_lock lock(mutex_);
+    return finish_;
+}
+
+std::optional<refusal_reason> journal::failure() const
+{
+    ranked_lock lock(mutex_);
+    return failure_;
+}
+
+void journal::touch(time_point now)
+{
+    ranked_lock lock(mutex_);
+    last_read_ = std::max(last_read_, now);
+}
+
+time_point journal::last_read() const
+{
+    ranked_lock lock(mutex_);
+    return last_read_;
+}
+
+void journal::record_delivered(sequence_number upto)
+{
+    {
+        ranked_lock lock(mutex_);
+        if (upto.count() <= delivered_)
+            return;
+        delivered_ = upto.count();
+    }
+    notify();
+}
+
+std::uint64_t journal::undelivered() const
+{
+    ranked_lock lock(mutex_);
+    return tokens_.size() > delivered_ ? tokens_.size() - delivered_ : 0;
+}
+
+std::string journal::text() const
+{
+    ranked_lock lock(mutex_);
+    std::string all;
+    for (auto const& t : tokens_)
+        all += t;
+    return all;
+}
+
+std::uint64_t journal::listen(listener on_change)
+{
+    ranked_lock lock(mutex_);
+    auto const key = next_listener_++;
+    listeners_.emplace_back(key, std::move(on_change));
+    return key;
+}
+
+void journal::unlisten(std::uint64_t key)
+{
+    ranked_lock lock(mutex_);
+    std::erase_if(listeners_, [&](auto const& l) { return l.first == key; });
+}
+
+void journal::notify()
+{
+    std::vector<listener> to_call;
+    {
+        ranked_lock lock(mutex_);
+        for (auto const& [key, f] : listeners_)
+            to_call.push_back(f);
+    }
+    for (auto const& f : to_call)
+        f();
+}
+
+std::size_t journal_table::key_hash::operator()(key const& k) const
+{
+    constexpr std::size_t mix = 1099511628211U;
+    return std::hash<organisation_id>{}(k.organisation) * mix ^ std::hash<request_id>{}(k.id);
+}
+
+journal_ptr journal_table::open(chat_request request, instance_id owner, generation_tag generation)
+{
+    key k{request.header.organisation, request.header.id};
+    auto opened =
+        std::make_shared<journal>(std::move(request), std::move(owner), std::move(generation));
+    ranked_lock lock(mutex_);
+    auto const [it, fresh] = journals_.emplace(std::move(k), opened);
+    return fresh ? opened : nullptr;
+}
+
+journal_ptr journal_table::find(organisation_id const& organisation, request_id const& id) const
+{
+    ranked_lock lock(mutex_);
+    auto const it = journals_.find(key{organisation, id});
+    return it == journals_.end() ? nullptr : it->second;
+}
+
+std::vector<journal_ptr> journal_table::unfinished_of(instance_id const& owner) const
+{
+    std::vector<journal_ptr> found;
+    ranked_lock lock(mutex_);
+    for (auto const& [k, j] : journals_)
+        if (j->owner() == owner && !j->finished())
+            found.push_back(j);
+    return found;
+}
+
+void journal_table::retire(journal_ptr const& ended, time_point now, duration kept_for)
+{
+    auto const& header = ended->request().header;
+    ranked_lock lock(mutex_);
+    retired_.push_back({key{header.organisation, header.id}, now + kept_for});
+}
+
+std::size_t journal_table::expire(time_point now)
+{
+    ranked_lock lock(mutex_);
+    auto const over = std::partition(
+        retired_.begin(), retired_.end(), [&](retired const& r) { return now < r.until; });
+    auto const dropped = static_cast<std::size_t>(retired_.end() - over);
+    std::for_each(over, retired_.end(), [&](retired const& r) { journals_.erase(r.id); });
+    retired_.erase(over, retired_.end());
+    return dropped;
+}
+
+std::size_t journal_table::size() const
+{
+    ranked_lock lock(mutex_);
+    return journals_.size();
+}
+
+} // namespace auburnweir::state
--- /dev/null
+++ b/src/state/lock_rank.hpp
@@ -0,0 +1,60 @@
+#ifndef AUBURNWEIR_STATE_LOCK_RANK_HPP
+#define AUBURNWEIR_STATE_LOCK_RANK_HPP
+
+#include <mutex>
+
+namespace auburnweir::state
+{
+
+/// Order in which a thread may take the locks of the shared tables: only upwards.
+enum class lock_rank : int
+{
+    configuration = 10,
+    admission_gate = 15,
+    admission = 20,
+    backend_table = 30,
+    prefix_index = 40,
+    retry_budget = 50,
+    replica_owners = 55,
+    journal_table = 60,
+    journal = 70,
+    review_table = 80,
+    peer_table = 90,
+    peer_links = 95,
+    group_commit = 100,
+    connection_pool = 110,
+    timer = 120,
+    counters = 130
+};
+
+/// Mutex that asserts the order of `lock_rank` in debug builds.
+class ranked_mutex
+{
+public:
+    explicit ranked_mutex(lock_rank rank)
+        : rank_(rank)
+    {
+    }
+
+    ranked_mutex(ranked_mutex const&) = delete;
+    ranked_mutex& operator=(ranked_mutex const&) = delete;
+
+    /// @pre the thread holds no lock of this rank or a higher one
+    void lock();
+    void unlock();
+
+    lock_rank rank() const { return rank_; }
+
+private:
+    std::mutex mutex_;
+    lock_rank rank_;
+};
+
+/// True when a thread that holds locks up to `held` may take `wanted`.
+bool may_take(lock_rank held, lock_rank wanted);
+
+using ranked_lock = std::lock_guard<ranked_mutex>;
+
+} // namespace auburnweir::state
+
+#endif
--- /dev/null
+++ b/src/state/overloaded.hpp
@@ -0,0 +1,19 @@
+#ifndef AUBURNWEIR_STATE_OVERLOADED_HPP
+#define AUBURNWEIR_STATE_OVERLOADED_HPP
+
+namespace auburnweir::state
+{
+
+/// Joins lambdas into one visitor for `std::visit`.
+template <class... Fs>
+struct overloaded : Fs...
+{
+    using Fs::operator()...;
+};
+
+template <class... Fs>
+overloaded(Fs...) -> overloaded<Fs...>;
+
+} // namespace auburnweir::state
+
+#endif
--- /dev/null
+++ b/src/state/reasons.cpp
@@ -0,0 +1,82 @@
+#include "state/reasons.hpp"
+
+#include <array>
+
+namespace auburnweir::state
+{
+
+namespace
+{
+constexpr std::array<std::string_view, static_cast<std::size_t>(refusal_reason::count_)>
+    refusal_reason_names{
+        "malformed_request", "unauthorised",         "unknown_service",      "unknown_operation",
+        "unknown_request",   "header_too_large",     "body_too_large",       "sender_too_slow",
+        "queue_full",        "deadline_unreachable", "deadline_exceeded",    "no_backend",
+        "backend_failed",    "store_unavailable",    "key_reused",           "key_in_flight",
+        "outcome_unknown",   "request_id_in_use",    "resume_point_unknown", "stopping",
+        "caller_left",
+    };
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(retry_reason::count_)>
+    retry_reason_names{
+        "connect_failed", "backend_overloaded", "backend_error",      "stream_cut",
+        "stream_stalled", "backend_leaving",    "not_run_by_backend",
+    };
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(give_up_reason::count_)>
+    give_up_reason_names{
+        "not_idempotent",
+        "budget_exhausted",
+        "deadline_too_close",
+        "attempts_exhausted",
+    };
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(event_counter::count_)>
+    event_counter_names{
+        "requests_accepted",
+        "requests_completed",
+        "callers_left",
+        "tokens_streamed",
+        "tokens_recomputed",
+        "tokens_superseded",
+        "streams_continued",
+        "streams_moved_by_export",
+        "streams_replayed",
+        "journals_adopted",
+        "journals_unreplicated",
+        "ledger_operations",
+        "ledger_rows_written",
+        "ledger_writes",
+        "ledger_writes_settled_by_read",
+        "ledger_answers_repeated",
+        "reviews_accepted",
+        "reviews_claimed",
+        "reviews_completed",
+        "backend_attempts",
+        "backends_ejected",
+        "prefix_hits",
+    };
+
+} // namespace
+
+std::string_view name_of(refusal_reason value)
+{
+    return refusal_reason_names.at(static_cast<std::size_t>(value));
+}
+
+std::string_view name_of(retry_reason value)
+{
+    return retry_reason_names.at(static_cast<std::size_t>(value));
+}
+
+std::string_view name_of(give_up_reason value)
+{
+    return give_up_reason_names.at(static_cast<std::size_t>(value));
+}
+
+std::string_view name_of(event_counter value)
+{
+    return event_counter_names.at(static_cast<std::size_t>(value));
+}
+
+} // namespace auburnweir::state
--- /dev/null
+++ b/src/state/reasons.hpp
@@ -0,0 +1,95 @@
+#ifndef AUBURNWEIR_STATE_REASONS_HPP
+#define AUBURNWEIR_STATE_REASONS_HPP
+
+#include <cstdint>
+#include <string_view>
+
+namespace auburnweir::state
+{
+
+/// Why a request is refused or fails. Each has a counter of its own.
+enum class refusal_reason : std::uint8_t
+{
+    malformed_request,
+    unauthorised,
+    unknown_service,
+    unknown_operation,
+    unknown_request,
+    header_too_large,
+    body_too_large,
+    sender_too_slow,
+    queue_full,
+    deadline_unreachable,
+    deadline_exceeded,
+    no_backend,
+    backend_failed,
+    store_unavailable,
+    key_reused,
+    key_in_flight,
+    outcome_unknown,
+    request_id_in_use,
+    resume_point_unknown,
+    stopping,
+    caller_left,
+    count_
+};
+
+/// Why an attempt is repeated or moved to another backend server.
+enum class retry_reason : std::uint8_t
+{
+    connect_failed,
+    backend_overloaded,
+    backend_error,
+    stream_cut,
+    stream_stalled,
+    backend_leaving,
+    not_run_by_backend,
+    count_
+};
+
+/// Why a failed attempt is not repeated.
+enum class give_up_reason : std::uint8_t
+{
+    not_idempotent,
+    budget_exhausted,
+    deadline_too_close,
+    attempts_exhausted,
+    count_
+};
+
+/// Events worth counting that are neither refusals nor retries.
+enum class event_counter : std::uint8_t
+{
+    requests_accepted,
+    requests_completed,
+    callers_left,
+    tokens_streamed,
+    tokens_recomputed,
+    tokens_superseded,
+    streams_continued,
+    streams_moved_by_export,
+    streams_replayed,
+    journals_adopted,
+    journals_unreplicated,
+    ledger_operations,
+    ledger_rows_written,
+    ledger_writes,
+    ledger_writes_settled_by_read,
+    ledger_answers_repeated,
+    reviews_accepted,
+    reviews_claimed,
+    reviews_completed,
+    backend_attempts,
+    backends_ejected,
+    prefix_hits,
+    count_
+};
+
+std::string_view name_of(refusal_reason reason);
+std::string_view name_of(retry_reason reason);
+std::string_view name_of(give_up_reason reason);
+std::string_view name_of(event_counter event);
+
+} // namespace auburnweir::state
+
+#endif
