--- /dev/null
+++ b/src/programs/entry.cpp
@@ -0,0 +1,137 @@
+#include "programs/command_line.hpp"
+#include "protocol/entry_settings.hpp"
+#include "protocol/service_text.hpp"
+#include "transport/entry_server.hpp"
+#include "transport/log.hpp"
+
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+/// auburnweir-entry: takes callers' requests and sees them through.
+
+namespace
+{
+
+using namespace auburnweir;
+
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+
+struct arguments
+{
+    char* settings = nullptr;
+    int check = 0;
+    int version = 0;
+    int reference = 0;
+    long long seed = -1;
+};
+
+/// Reads a file; a missing one is a finding.
+std::string read_file(std::string const& path, state::findings& out)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file)
+    {
+        out.push_back({path, 0, "", "can't be read"});
+        return {};
+    }
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+struct loaded
+{
+    std::optional<protocol::entry_settings> settings;
+    state::configuration_ptr configuration;
+    state::findings found;
+};
+
+loaded load(std::string const& path)
+{
+    loaded result;
+    auto const text = read_file(path, result.found);
+    if (result.found.empty())
+        result.settings = protocol::read_entry_settings(text, path, result.found);
+    if (!result.settings)
+        return result;
+    auto const& service_path = result.settings->configuration_file;
+    auto const service_text = read_file(service_path, result.found);
+    if (result.found.empty())
+        result.configuration =
+            protocol::read_service_text(service_text, service_path, result.found);
+    return result;
+}
+
+int serve(loaded ready, long long seed)
+{
+    transport::start_log(ready.settings->log_level);
+    transport::entry_server::builder builder;
+    builder.settings(*ready.settings).configuration(ready.configuration);
+    if (seed >= 0)
+        builder.seed(static_cast<std::uint64_t>(seed));
+    std::string fault;
+    auto const server = builder.build(fault);
+    if (!server)
+    {
+        std::cerr << fault << "\n";
+        return exit_failed;
+    }
+    std::cout << "listening callers=" << server->caller_port() << " peers=" << server->peer_port()
+              << std::endl;
+    server->run();
+    return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    arguments given;
+    poptOption const options[] = {
+        {"settings", 's', POPT_ARG_STRING, &given.settings, 0, "settings of this instance", "FILE"},
+        {"check-config", 'c', POPT_ARG_NONE, &given.check, 0,
+         "check the settings and the service text, then end", nullptr},
+        {"reference", 0, POPT_ARG_NONE, &given.reference, 0,
+         "print all settings as Markdown, then end", nullptr},
+        {"seed", 0, POPT_ARG_LONGLONG, &given.seed, 0, "seed of random choices", "NUMBER"},
+        {"version", 'v', POPT_ARG_NONE, &given.version, 0, "print the version, then end", nullptr},
+        POPT_AUTOHELP POPT_TABLEEND};
+    programs::command_line line(argc, argv, options, "--settings FILE [OPTION...]");
+    auto const fault = line.parse();
+    if (!fault.empty())
+    {
+        std::cerr << fault << "\n";
+        return exit_usage;
+    }
+    if (given.version)
+    {
+        std::cout << "auburnweir-entry " << AUBURNWEIR_VERSION << "\n";
+        return exit_ok;
+    }
+    if (given.reference)
+    {
+        std::cout << protocol::entry_settings_reference() << protocol::service_text_reference();
+        return exit_ok;
+    }
+    if (!given.settings)
+    {
+        std::cerr << "--settings FILE is missing\n";
+        return exit_usage;
+    }
+    std::string const path = given.settings;
+    std::free(given.settings);
+    auto ready = load(path);
+    if (!ready.found.empty())
+    {
+        std::cerr << state::to_text(ready.found);
+        return exit_failed;
+    }
+    if (given.check)
+    {
+        std::cout << "no findings\n";
+        return exit_ok;
+    }
+    return serve(std::move(ready), given.seed);
+}
--- /dev/null
+++ b/src/protocol/call_head.hpp
@@ -0,0 +1,90 @@
+#ifndef AUBURNWEIR_PROTOCOL_CALL_HEAD_HPP
+#define AUBURNWEIR_PROTOCOL_CALL_HEAD_HPP
+
+#include "protocol/decoded.hpp"
+#include "state/journal.hpp"
+#include "state/request.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+/// Request lines and headers of the callers' interface, without an HTTP library.
+namespace auburnweir::protocol
+{
+
+/// `POST /v1/chat/completions`
+struct chat_route
+{
+};
+
+/// `POST /v1/services/{service}/{operation}`
+struct operation_route
+{
+    state::service_id service;
+    state::operation_name operation;
+};
+
+/// `GET /v1/requests/{id}`
+struct answer_route
+{
+    state::request_id id;
+};
+
+struct health_route
+{
+};
+
+struct readiness_route
+{
+};
+
+struct metrics_route
+{
+};
+
+struct unknown_route
+{
+};
+
+using call_route = std::variant<
+    chat_route, operation_route, answer_route, health_route, readiness_route, metrics_route,
+    unknown_route>;
+
+/// Reads method and target.
+call_route route_of(std::string_view method, std::string_view target);
+
+/// Header values as received; empty when absent.
+struct raw_headers
+{
+    std::string authorization;
+    std::string request_id;
+    std::string idempotency_key;
+    std::string last_event_id;
+    std::string deadline_ms;
+    std::string priority;
+    std::string content_type;
+};
+
+/// What the headers ask for.
+struct call_head
+{
+    std::string bearer;
+    state::request_id id; ///< empty: the entry instance chooses one
+    std::optional<state::idempotency_key> key;
+    state::resume_point resume; ///< what the caller has of the answer
+    std::optional<state::duration> time_allowed;
+    state::priority level = state::priority::interactive;
+    std::string content_type;
+};
+
+/// Names of the headers that are not standard.
+constexpr std::string_view deadline_header = "X-Deadline-Ms";
+constexpr std::string_view priority_header = "X-Priority";
+
+decoded<call_head> decode_call_head(raw_headers const& raw);
+
+} // namespace auburnweir::protocol
+
+#endif
--- /dev/null
+++ b/src/protocol/engine_codec.hpp
@@ -0,0 +1,47 @@
+#ifndef AUBURNWEIR_PROTOCOL_ENGINE_CODEC_HPP
+#define AUBURNWEIR_PROTOCOL_ENGINE_CODEC_HPP
+
+#include "protocol/decoded.hpp"
+#include "state/backend_table.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// What engines say besides their answers: load, cache events, KV export.
+namespace auburnweir::protocol
+{
+
+/// The header `X-Engine-Load`: `running=3;queued=0;queued_prefill=0;prefill_rate=8000;...`.
+std::string encode_load_header(state::load_report const& report);
+decoded<state::load_report> decode_load_header(std::string_view text);
+
+/// True when the header `X-Engine-State` says that the engine takes no new work.
+bool says_leaving(std::string_view engine_state);
+
+/// A block of the prefix cache was stored or dropped.
+struct cache_event
+{
+    std::uint64_t number; ///< grows by one; a jump means missed events
+    bool stored;
+    std::uint64_t block;
+};
+
+/// Body of `GET /status?after=N`.
+struct engine_status
+{
+    state::load_report load;
+    bool leaving = false;
+    std::vector<cache_event> events;
+};
+
+std::string encode_engine_status(engine_status const& status);
+decoded<engine_status> decode_engine_status(std::string_view body);
+
+/// Body of `POST /v1/kv/export` and the handle in its answer.
+std::string encode_export_request(state::attempt_token const& attempt);
+decoded<std::string> decode_export_reply(std::string_view body);
+
+} // namespace auburnweir::protocol
+
+#endif
--- /dev/null
+++ b/src/protocol/entry_settings.cpp
@@ -0,0 +1,212 @@
+#include "protocol/entry_settings.hpp"
+
+#include "protocol/option_reference.hpp"
+#include "protocol/option_table.hpp"
+
+namespace auburnweir::protocol
+{
+
+namespace
+{
+
+using settings = entry_settings;
+
+option<settings> milliseconds_option(
+    std::string key, std::string description, std::string default_value, std::int64_t low,
+    std::int64_t high, state::duration settings::*member)
+{
+    return number_option<std::int64_t, settings>(
+        std::move(key), std::move(description), std::move(default_value), low, high,
+        [member](settings& s, std::int64_t v) { s.*member = std::chrono::milliseconds{v}; });
+}
+
+option<settings> count_option(
+    std::string key, std::string description, std::string default_value, std::int64_t low,
+    std::int64_t high, std::int64_t settings::*member)
+{
+    return number_option<std::int64_t, settings>(
+        std::move(key), std::move(description), std::move(default_value), low, high,
+        [member](settings& s, std::int64_t v) { s.*member = v; });
+}
+
+template <class Id>
+option<settings> id_option(std::string key, std::string description, Id settings::*member)
+{
+    return text_option<settings>(
+        std::move(key), std::move(description), "", "identifier", true,
+        [member](settings& s, std::string const& v) -> value_fault
+        {
+            if (!is_identifier(v))
+                return "'" + v + "' is not an identifier";
+            s.*member = Id{v};
+            return std::nullopt;
+        });
+}
+
+option<settings> endpoint_option(
+    std::string key, std::string description, std::string default_value,
+    state::endpoint settings::*member)
+{
+    bool const required = default_value.empty();
+    return text_option<settings>(
+        std::move(key), std::move(description), std::move(default_value), "host:port", required,
+        [member](settings& s, std::string const& v) -> value_fault
+        {
+            auto const parsed = parse_endpoint(v);
+            if (!parsed)
+                return "'" + v + "' is not an IP number and port";
+            s.*member = *parsed;
+            return std::nullopt;
+        });
+}
+
+option<settings> choice_option(
+    std::string key, std::string description, std::string default_value,
+    std::vector<std::string> choices, std::string settings::*member)
+{
+    std::string range;
+    for (auto const& c : choices)
+        range += (range.empty() ? "" : ", ") + c;
+    return text_option<settings>(
+        std::move(key), std::move(description), std::move(default_value), range, false,
+        [member, choices, range](settings& s, std::string const& v) -> value_fault
+        {
+            if (std::find(choices.begin(), choices.end(), v) == choices.end())
+                return "'" + v + "' is not one of " + range;
+            s.*member = v;
+            return std::nullopt;
+        });
+}
+
+option<settings> peer_key_option()
+{
+    constexpr std::size_t shortest = 16;
+    return text_option<settings>(
+        "peer_key", "shared key of all entry instances, proved on each peer link", "",
+        "16 characters or more", true,
+        [](settings& s, std::string const& v) -> value_fault
+        {
+            if (v.size() < shortest)
+                return "shorter than 16 characters";
+            s.peer_key = v;
+            return std::nullopt;
+        });
+}
+
+option_table<settings> const& entry_options()
+{
+    static option_table<settings> const table{
+        id_option("id", "name of this instance, unique at any time", &settings::id),
+        id_option("failure_domain", "failure domain that it stands in", &settings::failure_domain),
+        id_option("region", "region that it stands in", &settings::region),
+        endpoint_option(
+            "listen", "address for callers; port 0 takes a free one", "127.0.0.1:0",
+            &settings::listen),
+        endpoint_option(
+            "peer_listen", "address for other entry instances", "127.0.0.1:0",
+            &settings::peer_listen),
+        endpoint_option("platform", "address of the platform's service", "", &settings::platform),
+        text_option<settings>(
+            "configuration_file", "service text taken at the start", "", "path", true,
+            [](settings& s, std::string const& v) -> value_fault
+            {
+                s.configuration_file = v;
+                return std::nullopt;
+            }),
+        peer_key_option(),
+        choice_option(
+            "log_level", "least severe events that are logged", "info",
+            {"debug", "info", "warning", "error"}, &settings::log_level),
+        choice_option(
+            "routing", "routing policy; the others are baselines", "predicted_first_token",
+            {"predicted_first_token", "round_robin", "least_loaded", "power_of_two"},
+            &settings::routing),
+        count_option("workers", "worker threads", "2", 1, 64, &settings::workers),
+        count_option(
+            "header_limit", "largest request header, in bytes", "8192", 512, 65536,
+            &settings::header_limit),
+        count_option(
+            "body_limit", "largest request body, in bytes", "1048576", 1024, 67108864,
+            &settings::body_limit),
+        count_option(
+            "subset_size", "backend servers of one service that this instance uses", "24", 1, 1000,
+            &settings::subset_size),
+        count_option(
+            "most_attempts", "attempts for one request, the first included", "4", 1, 20,
+            &settings::most_attempts),
+        number_option<double, settings>(
+            "retry_budget", "retries as a share of a service's requests", "0.1", 0.0, 1.0,
+            [](settings& s, double v) { s.retry_budget = v; }),
+        milliseconds_option(
+            "header_timeout_ms", "time for a caller to send a request header", "10000", 100, 600000,
+            &settings::header_timeout),
+        milliseconds_option(
+            "body_timeout_ms", "time for a caller to send a request body", "20000", 100, 600000,
+            &settings::body_timeout),
+        milliseconds_option(
+            "write_timeout_ms", "time for a caller to take one part of an answer", "30000", 100,
+            600000, &settings::write_timeout),
+        milliseconds_option(
+            "stall_timeout_ms", "silence after which a backend server's answer counts as lost",
+            "10000", 50, 600000, &settings::stall_timeout),
+        milliseconds_option(
+            "store_timeout_ms", "time for the platform to answer a call", "1000", 10, 60000,
+            &settings::store_timeout),
+        milliseconds_option(
+            "poll_period_ms", "time between reads of the platform's lists and notices", "500", 50,
+            60000, &settings::poll_period),
+        milliseconds_option(
+            "replica_wait_ms", "longest that tokens wait for the journal's replica", "20", 0, 10000,
+            &settings::replica_wait),
+        milliseconds_option(
+            "journal_kept_ms", "time that a finished answer can be fetched again", "600000", 100,
+            86400000, &settings::journal_kept),
+        milliseconds_option(
+            "adopt_delay_ms", "silence of an owner after which its replica finishes its requests",
+            "1000", 50, 60000, &settings::adopt_delay),
+        milliseconds_option(
+            "readiness_delay_ms", "time between readiness off and no more connections at a stop",
+            "500", 0, 60000, &settings::readiness_delay),
+        milliseconds_option(
+            "drain_limit_ms", "time for requests in progress to end at a stop", "30000", 0, 3600000,
+            &settings::drain_limit),
+        milliseconds_option(
+            "group_window_ms", "time that ledger writes wait to share a transaction", "5", 0, 1000,
+            &settings::group_window),
+        milliseconds_option(
+            "review_scan_ms", "time between looks for deferrable requests to run", "1000", 50,
+            600000, &settings::review_scan)};
+    return table;
+}
+
+} // namespace
+
+std::optional<entry_settings>
+read_entry_settings(std::string_view text, std::string const& file, state::findings& out)
+{
+    auto const document = parse_ini(text, file, out);
+    entry_settings result;
+    bool found = false;
+    for (auto const& section : document)
+    {
+        if (section.title() != "entry")
+            out.push_back({file, section.line, section.title(), "unknown section"});
+        else if (found)
+            out.push_back({file, section.line, section.title(), "section stands twice"});
+        else
+            apply_section(section, entry_options(), file, result, out);
+        found = found || section.title() == "entry";
+    }
+    if (!found)
+        out.push_back({file, 0, "entry", "section is missing"});
+    if (!out.empty())
+        return std::nullopt;
+    return result;
+}
+
+std::string entry_settings_reference()
+{
+    return option_reference("entry", entry_options());
+}
+
+} // namespace auburnweir::protocol
--- /dev/null
+++ b/src/protocol/option_reference.hpp
@@ -0,0 +1,29 @@
+#ifndef AUBURNWEIR_PROTOCOL_OPTION_REFERENCE_HPP
+#define AUBURNWEIR_PROTOCOL_OPTION_REFERENCE_HPP
+
+#include "protocol/option_table.hpp"
+
+#include <string>
+
+namespace auburnweir::protocol
+{
+
+/// One section's options as a Markdown table for the operators' page.
+template <class Target>
+std::string option_reference(std::string const& title, option_table<Target> const& table)
+{
+    std::string page = "### `[" + title +
+                       "]`\n\n| key | meaning | default | range |\n"
+                       "| --- | --- | --- | --- |\n";
+    for (auto const& o : table)
+    {
+        auto const fallback = o.required ? "required" : o.default_value;
+        page +=
+            "| `" + o.key + "` | " + o.description + " | " + fallback + " | " + o.range + " |\n";
+    }
+    return page + "\n";
+}
+
+} // namespace auburnweir::protocol
+
+#endif
--- /dev/null
+++ b/src/protocol/peer_message.hpp
@@ -0,0 +1,127 @@
+#ifndef AUBURNWEIR_PROTOCOL_PEER_MESSAGE_HPP
+#define AUBURNWEIR_PROTOCOL_PEER_MESSAGE_HPP
+
+#include "protocol/decoded.hpp"
+#include "state/journal.hpp"
+#include "state/request.hpp"
+#include "state/table_write.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/// Messages between entry instances, in CBOR.
+namespace auburnweir::protocol
+{
+
+/// Matches an answer with its question on one link.
+using correlation = state::quantity<struct correlation_unit, std::uint64_t>;
+
+/// Names a journal.
+struct journal_key
+{
+    state::organisation_id organisation;
+    state::request_id id;
+};
+
+/// The sender owns a request; the receiver keeps a replica of its journal.
+struct journal_open
+{
+    state::chat_request request;
+    state::generation_lineage lineage;
+    correlation number;
+};
+
+/// Tokens for a replica.
+struct journal_append
+{
+    journal_key key;
+    state::journal_part part;
+    correlation number;
+};
+
+enum class ack_status : std::uint8_t
+{
+    accepted,
+    unknown,   ///< the replica lacks the journal or a part of it: open it again
+    superseded ///< another instance drives the request now
+};
+
+/// What became of the journal message with this number.
+struct journal_ack
+{
+    correlation number;
+    ack_status status = ack_status::accepted;
+    bool read_recently = false; ///< a caller reads the answer through the replica
+};
+
+/// Asks for a journal's tokens after `after`.
+struct journal_read
+{
+    journal_key key;
+    state::sequence_number after;
+    correlation number;
+};
+
+/// Answer to `journal_read`; null when the journal is not held.
+struct journal_reply
+{
+    std::optional<state::journal_part> part;
+    state::generation_lineage lineage;
+    correlation number;
+};
+
+/// The sender stops: the receiver finishes the sender's requests that it holds replicas of.
+struct journal_handover
+{
+    state::instance_id owner;
+};
+
+/// A backend server gets no new work.
+struct backend_leaving
+{
+    state::backend_id backend;
+    std::optional<state::duration> time_left;
+};
+
+/// Asks the receiver to put a conditional write into its next transaction.
+struct grouped_write
+{
+    state::table_write write;
+    correlation number;
+};
+
+/// Result of a `grouped_write`.
+struct grouped_result
+{
+    state::write_result result;
+    correlation number;
+};
+
+/// Asks whether the receiver is alive.
+struct peer_ping
+{
+    correlation number;
+};
+
+struct peer_pong
+{
+    correlation number;
+};
+
+using peer_message = std::variant<
+    journal_open, journal_append, journal_ack, journal_read, journal_reply, journal_handover,
+    backend_leaving, grouped_write, grouped_result, peer_ping, peer_pong>;
+
+/// Encodes messages as one frame.
+std::string encode_frame(std::vector<peer_message> const& messages);
+
+/// Decodes a frame; any fault refuses the whole of it.
+decoded<std::vector<peer_message>> decode_frame(std::string_view frame);
+
+} // namespace auburnweir::protocol
+
+#endif
--- /dev/null
+++ b/src/transport/answer_handler.cpp
@@ -0,0 +1,142 @@
+#include "coordination/journal_placement.hpp"
+#include "state/overloaded.hpp"
+#include "transport/answer_stream.hpp"
+#include "transport/caller_handler.hpp"
+#include "transport/clock.hpp"
+#include "transport/review_store.hpp"
+
+namespace auburnweir::transport
+{
+
+namespace
+{
+
+constexpr state::duration read_limit = std::chrono::milliseconds{500};
+constexpr state::duration follow_period = std::chrono::milliseconds{30};
+constexpr state::duration review_retry = std::chrono::seconds{2};
+constexpr int most_failed_reads = 100;
+
+protocol::problem
+problem_for(state::refusal_reason reason, state::request_id const& id, std::string detail)
+{
+    return {reason, state::run_outcome::outcome_unknown, std::move(detail), id, {}};
+}
+
+net::awaitable<std::optional<protocol::journal_reply>>
+read_at(caller_call& call, state::instance peer, state::request_id id, state::sequence_number after)
+{
+    protocol::journal_key const key{call.organisation.id, id};
+    auto const make = [&](protocol::correlation number) {
+        return protocol::peer_message{protocol::journal_read{key, after, number}};
+    };
+    auto const answer = co_await call.context.peers.ask(call.home.io(), peer, make, read_limit);
+    auto const* reply = answer ? std::get_if<protocol::journal_reply>(&*answer) : nullptr;
+    if (!reply || !reply->part)
+        co_return std::nullopt;
+    co_return *reply;
+}
+
+/// Copies a peer's journal into a private one as it grows, until its end or the reader's.
+net::awaitable<void> mirror(
+    std::shared_ptr<caller_call> call, state::instance peer, state::journal_ptr copy,
+    std::shared_ptr<bool> reading)
+{
+    int failed = 0;
+    while (*reading && !copy->finished() && failed < most_failed_reads)
+    {
+        auto const id = copy->request().header.id;
+        auto const reply = co_await read_at(*call, peer, id, copy->last());
+        failed = reply ? 0 : failed + 1;
+        if (reply)
+            copy->take_lineage(reply->lineage);
+        auto const merged = reply ? copy->merge(*reply->part) : state::append_result::duplicate;
+        if (merged == state::append_result::diverged)
+            copy->fail(state::refusal_reason::resume_point_unknown);
+        if (merged != state::append_result::appended)
+            co_await sleep_for(call->home.io(), follow_period);
+    }
+    copy->fail(state::refusal_reason::resume_point_unknown);
+}
+
+net::awaitable<bool> send_answer(caller_call& call, state::journal_ptr journal)
+{
+    auto const& id = journal->request().header.id;
+    if (!journal->can_resume(call.head.resume))
+    {
+        auto p = problem_for(
+            state::refusal_reason::resume_point_unknown, id, "fetch the answer from its beginning");
+        co_return co_await refuse(call, std::move(p));
+    }
+    if (call.accepts_events)
+        co_return co_await stream_answer(call, journal, call.head.resume);
+    co_return co_await send_whole_answer(call, journal);
+}
+
+net::awaitable<bool> send_from_peer(
+    caller_call& call, state::instance peer, protocol::journal_reply first, state::request_id id)
+{
+    state::chat_request request;
+    request.header.id = id;
+    request.header.organisation = call.organisation.id;
+    auto const copy =
+        std::make_shared<state::journal>(std::move(request), peer.id, first.lineage.front().tag);
+    copy->take_lineage(first.lineage);
+    copy->merge(*first.part);
+    auto const reading = std::make_shared<bool>(true);
+    auto const shared = std::make_shared<caller_call>(call);
+    net::co_spawn(call.home.io(), mirror(shared, peer, copy, reading), net::detached);
+    bool const sent = co_await send_answer(call, copy);
+    *reading = false;
+    co_return sent;
+}
+
+net::awaitable<bool> send_review(caller_call& call, state::request_id id)
+{
+    auto const found = co_await find_review(call.context, call.home, call.organisation.id, id);
+    if (auto const* answer = std::get_if<review_answer>(&found))
+    {
+        caller_reply reply;
+        reply.headers = {{"X-Request-Id", id.str()}};
+        reply.body = answer->body;
+        co_return co_await call.writer.send(std::move(reply));
+    }
+    if (std::holds_alternative<review_pending>(found))
+    {
+        caller_reply reply;
+        reply.status = 202;
+        reply.headers = {
+            {"X-Request-Id", id.str()},
+            {"Retry-After", protocol::retry_after_seconds(review_retry)}};
+        reply.body = encode_review_waiting(id);
+        co_return co_await call.writer.send(std::move(reply));
+    }
+    bool const absent = std::holds_alternative<review_absent>(found);
+    auto p = problem_for(
+        absent ? state::refusal_reason::unknown_request : state::refusal_reason::store_unavailable,
+        id, {});
+    if (!absent)
+        p.retry_after = review_retry;
+    co_return co_await refuse(call, std::move(p));
+}
+
+} // namespace
+
+net::awaitable<bool> handle_answer(caller_call& call, protocol::answer_route route)
+{
+    auto const active = call.context.activity.begin();
+    auto const local = call.context.tables.journals.find(call.organisation.id, route.id);
+    if (local)
+        co_return co_await send_answer(call, local);
+    auto const order = coordination::lookup_order(route.id, call.context.tables.instances.live());
+    for (auto const& peer : order)
+    {
+        if (peer.id == call.context.self.id)
+            continue;
+        auto const found = co_await read_at(call, peer, route.id, {});
+        if (found)
+            co_return co_await send_from_peer(call, peer, *found, route.id);
+    }
+    co_return co_await send_review(call, route.id);
+}
+
+} // namespace auburnweir::transport
--- /dev/null
+++ b/src/transport/caller_connection.cpp
@@ -0,0 +1,217 @@
+#include "transport/caller_connection.hpp"
+
+#include "protocol/digest.hpp"
+#include "protocol/metrics_text.hpp"
+#include "state/overloaded.hpp"
+#include "transport/clock.hpp"
+
+namespace auburnweir::transport
+{
+
+namespace
+{
+
+using state::refusal_reason;
+using state::run_outcome;
+
+auto into(error_code& fault)
+{
+    return net::redirect_error(net::use_awaitable, fault);
+}
+
+std::string text_of(http::fields const& headers, http::field name)
+{
+    auto const value = headers[name];
+    return std::string{value.data(), value.size()};
+}
+
+std::string text_of(http::fields const& headers, std::string_view name)
+{
+    auto const value = headers[beast::string_view{name.data(), name.size()}];
+    return std::string{value.data(), value.size()};
+}
+
+protocol::raw_headers raw_headers_of(http::fields const& headers)
+{
+    protocol::raw_headers raw;
+    raw.authorization = text_of(headers, http::field::authorization);
+    raw.request_id = text_of(headers, "X-Request-Id");
+    raw.idempotency_key = text_of(headers, "Idempotency-Key");
+    raw.last_event_id = text_of(headers, "Last-Event-ID");
+    raw.deadline_ms = text_of(headers, protocol::deadline_header);
+    raw.priority = text_of(headers, protocol::priority_header);
+    raw.content_type = text_of(headers, http::field::content_type);
+    return raw;
+}
+
+refusal_reason reason_of(error_code const& fault)
+{
+    if (fault == beast::error::timeout)
+        return refusal_reason::sender_too_slow;
+    if (fault == http::error::header_limit || fault == http::error::buffer_overflow)
+        return refusal_reason::header_too_large;
+    if (fault == http::error::body_limit)
+        return refusal_reason::body_too_large;
+    return refusal_reason::malformed_request;
+}
+
+/// The other side closed or reset the connection: there is nobody to answer.
+bool is_gone(error_code const& fault)
+{
+    return fault == http::error::end_of_stream || fault == http::error::partial_message ||
+           fault == net::error::connection_reset || fault == net::error::operation_aborted ||
+           fault == net::error::broken_pipe;
+}
+
+} // namespace
+
+net::awaitable<bool> refuse(caller_call& call, protocol::problem p)
+{
+    call.context.tables.counters.increment(p.reason);
+    auto reply = reply_for(p);
+    co_return co_await call.writer.send(std::move(reply));
+}
+
+caller_connection::caller_connection(entry_context& context, worker& home, tcp::socket socket)
+    : context_(context)
+    , home_(home)
+    , stream_(std::move(socket))
+    , buffer_(static_cast<std::size_t>(context.settings.header_limit + context.settings.body_limit))
+    , writer_(stream_, context.settings.write_timeout)
+{
+}
+
+void caller_connection::start()
+{
+    net::co_spawn(
+        home_.io(), [self = shared_from_this()] { return self->run(); }, net::detached);
+}
+
+net::awaitable<void> caller_connection::run()
+{
+    bool open = true;
+    while (open)
+        open = co_await serve_one() && writer_.keeps_alive();
+    error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+net::awaitable<bool> caller_connection::refuse_unread(error_code fault)
+{
+    writer_.keep_alive(false);
+    bool const idle = buffer_.size() == 0 && fault == beast::error::timeout;
+    if (is_gone(fault) || idle)
+        co_return false;
+    protocol::problem p{reason_of(fault), run_outcome::not_run, fault.message(), {}, {}};
+    co_return co_await send_problem(std::move(p));
+}
+
+net::awaitable<bool> caller_connection::serve_one()
+{
+    request_parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(context_.settings.header_limit));
+    parser.body_limit(static_cast<std::uint64_t>(context_.settings.body_limit));
+    error_code fault;
+    stream_.expires_after(context_.settings.header_timeout);
+    co_await http::async_read_header(stream_, buffer_, parser, into(fault));
+    if (fault)
+        co_return co_await refuse_unread(fault);
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
+    {
+        http::response<http::empty_body> go_on{http::status::continue_, 11};
+        co_await http::async_write(stream_, go_on, into(fault));
+    }
+    stream_.expires_after(context_.settings.body_timeout);
+    co_await http::async_read(stream_, buffer_, parser, into(fault));
+    if (fault)
+        co_return co_await refuse_unread(fault);
+    auto incoming = parser.release();
+    writer_.keep_alive(incoming.keep_alive() && !context_.stopping);
+    co_return co_await dispatch(std::move(incoming));
+}
+
+net::awaitable<bool> caller_connection::send_problem(protocol::problem p)
+{
+    context_.tables.counters.increment(p.reason);
+    auto reply = reply_for(p);
+    co_return co_await writer_.send(std::move(reply));
+}
+
+net::awaitable<bool> caller_connection::send_text(int status, std::string text)
+{
+    caller_reply reply;
+    reply.status = status;
+    reply.content_type = "text/plain; version=0.0.4";
+    reply.body = std::move(text);
+    co_return co_await writer_.send(std::move(reply));
+}
+
+std::string caller_connection::metrics_text() const
+{
+    auto text = protocol::encode_metrics(context_.tables.counters);
+    protocol::append_gauge(
+        text, "requests_in_progress", static_cast<double>(context_.activity.value()));
+    protocol::append_gauge(
+        text, "journals_held", static_cast<double>(context_.tables.journals.size()));
+    protocol::append_gauge(
+        text, "configuration_version",
+        static_cast<double>(context_.tables.configuration.version().count()));
+    return text;
+}
+
+net::awaitable<bool> caller_connection::dispatch(request incoming)
+{
+    auto const method = incoming.method_string();
+    auto const target = incoming.target();
+    auto const route =
+        protocol::route_of({method.data(), method.size()}, {target.data(), target.size()});
+    if (std::holds_alternative<protocol::health_route>(route))
+        co_return co_await send_text(200, "ok\n");
+    if (std::holds_alternative<protocol::readiness_route>(route))
+    {
+        bool const stopping = context_.stopping;
+        co_return co_await send_text(stopping ? 503 : 200, stopping ? "stopping\n" : "ready\n");
+    }
+    if (std::holds_alternative<protocol::metrics_route>(route))
+        co_return co_await send_text(200, metrics_text());
+    if (std::holds_alternative<protocol::unknown_route>(route))
+    {
+        protocol::problem p{
+            refusal_reason::unknown_operation, run_outcome::not_run, "no such path", {}, {}};
+        co_return co_await send_problem(std::move(p));
+    }
+    auto head = protocol::decode_call_head(raw_headers_of(incoming.base()));
+    if (!head)
+    {
+        protocol::problem p{
+            refusal_reason::malformed_request, run_outcome::not_run, head.error().reason, {}, {}};
+        co_return co_await send_problem(std::move(p));
+    }
+    co_return co_await dispatch_call(std::move(incoming), route, std::move(head.value()));
+}
+
+net::awaitable<bool> caller_connection::dispatch_call(
+    request incoming, protocol::call_route route, protocol::call_head head)
+{
+    auto const config = context_.tables.configuration.current();
+    auto const* organisation = config->organisation_of(protocol::sha256(head.bearer));
+    if (!organisation)
+    {
+        protocol::problem p{refusal_reason::unauthorised, run_outcome::not_run, {}, head.id, {}};
+        co_return co_await send_problem(std::move(p));
+    }
+    bool const events = text_of(incoming.base(), http::field::accept).find("text/event-stream") !=
+                        std::string::npos;
+    caller_call call{
+        context_, home_,       writer_, config, *organisation, head, std::move(incoming.body()),
+        events,   std::nullopt};
+    if (head.time_allowed)
+        call.deadline = now() + *head.time_allowed;
+    if (std::holds_alternative<protocol::chat_route>(route))
+        co_return co_await handle_chat(call);
+    if (auto const* operation = std::get_if<protocol::operation_route>(&route))
+        co_return co_await handle_operation(call, *operation);
+    co_return co_await handle_answer(call, std::get<protocol::answer_route>(route));
+}
+
+} // namespace auburnweir::transport
--- /dev/null
+++ b/src/transport/caller_listener.cpp
@@ -0,0 +1,73 @@
+#include "transport/caller_listener.hpp"
+
+#include "transport/async_signal.hpp"
+#include "transport/caller_connection.hpp"
+
+namespace auburnweir::transport
+{
+
+namespace
+{
+constexpr state::duration accept_failure_pause = std::chrono::milliseconds{50};
+} // namespace
+
+caller_listener::caller_listener(entry_context& context)
+    : context_(context)
+    , acceptor_(context.workers.at(0).io())
+{
+}
+
+std::uint16_t caller_listener::listen(state::endpoint const& address)
+{
+    error_code fault;
+    tcp::endpoint const local{net::ip::make_address(address.host, fault), address.port};
+    if (!fault)
+        acceptor_.open(local.protocol(), fault);
+    if (!fault)
+        acceptor_.set_option(net::socket_base::reuse_address(true), fault);
+    if (!fault)
+        acceptor_.bind(local, fault);
+    if (!fault)
+        acceptor_.listen(net::socket_base::max_listen_connections, fault);
+    if (fault)
+        return 0;
+    return acceptor_.local_endpoint().port();
+}
+
+void caller_listener::start()
+{
+    net::co_spawn(context_.workers.at(0).io(), run(), net::detached);
+}
+
+void caller_listener::close()
+{
+    net::post(
+        context_.workers.at(0).io(),
+        [this]
+        {
+            error_code ignored;
+            acceptor_.close(ignored);
+        });
+}
+
+net::awaitable<void> caller_listener::run()
+{
+    while (acceptor_.is_open())
+    {
+        auto& home = context_.workers.next();
+        tcp::socket socket(home.io());
+        error_code fault;
+        co_await acceptor_.async_accept(socket, net::redirect_error(net::use_awaitable, fault));
+        if (fault)
+        {
+            co_await sleep_for(context_.workers.at(0).io(), accept_failure_pause);
+            continue;
+        }
+        socket.set_option(tcp::no_delay(true), fault);
+        auto const connection =
+            std::make_shared<caller_connection>(context_, home, std::move(socket));
+        net::post(home.io(), [connection] { connection->start(); });
+    }
+}
+
+} // namespace auburnweir::transport
--- /dev/null
+++ b/src/transport/chat_driver.cpp
@@ -0,0 +1,458 @@
+#include "transport/chat_driver.hpp"
+
+#include "protocol/chat_codec.hpp"
+#include "protocol/digest.hpp"
+#include "protocol/engine_codec.hpp"
+#include "state/overloaded.hpp"
+#include "transport/clock.hpp"
+#include "transport/log.hpp"
+
+namespace auburnweir::transport
+{
+
+namespace
+{
+
+constexpr std::size_t attempt_token_bytes = 8;
+constexpr std::uint64_t most_undelivered_tokens = 512;
+constexpr state::duration abandon_after = std::chrono::seconds{10};
+constexpr state::duration replan_period = std::chrono::milliseconds{250};
+constexpr state::duration no_backend_pause = std::chrono::milliseconds{100};
+constexpr state::duration rescue_pause = std::chrono::milliseconds{500};
+constexpr state::duration reader_pause = std::chrono::milliseconds{200};
+constexpr int most_no_backend_pauses = 20;
+constexpr int most_rescues = 240;
+constexpr int http_ok = 200;
+constexpr int http_bad_request = 400;
+constexpr int http_too_many = 429;
+constexpr int http_server_error = 500;
+constexpr int http_unavailable = 503;
+constexpr std::size_t export_reply_limit = 65536;
+
+std::string whole_prompt(state::chat_request const& request)
+{
+    std::string text;
+    for (auto const& m : request.messages)
+        text += m.role + "\n" + m.content + "\n";
+    return text;
+}
+
+} // namespace
+
+chat_driver::chat_driver(
+    entry_context& context, worker& home, state::journal_ptr journal, admission_slot slot)
+    : context_(context)
+    , home_(home)
+    , journal_(std::move(journal))
+    , slot_(std::move(slot))
+    , active_(context.activity.begin())
+{
+    auto const& request = journal_->request();
+    routing_.prompt = prompt_tokens(request);
+    routing_.prefix = coordination::hash_prefix(whole_prompt(request));
+    routing_.region = context_.self.region;
+}
+
+void chat_driver::start()
+{
+    net::co_spawn(
+        home_.io(), [self = shared_from_this()] { return self->run(); }, net::detached);
+}
+
+bool chat_driver::abandoned() const
+{
+    return needs_reader_ && now() - journal_->last_read() > abandon_after;
+}
+
+bool chat_driver::past_deadline() const
+{
+    return deadline_ && now() >= *deadline_;
+}
+
+bool chat_driver::taken_over() const
+{
+    return journal_->owner() != context_.self.id;
+}
+
+state::duration chat_driver::time_for_read() const
+{
+    auto const stall = context_.settings.stall_timeout;
+    if (!deadline_)
+        return stall;
+    auto const left = std::max(*deadline_ - now(), state::duration{std::chrono::milliseconds{1}});
+    return std::min(stall, left);
+}
+
+std::optional<state::backend_view> chat_driver::choose_backend()
+{
+    auto const candidates = context_.candidates(journal_->request().header.service);
+    auto chosen = context_.tables.router.choose(candidates, routing_, now(), home_.random());
+    if (!chosen && !candidates.empty())
+    {
+        routing_.tried.clear();
+        chosen = context_.tables.router.choose(candidates, routing_, now(), home_.random());
+    }
+    if (!chosen)
+        return std::nullopt;
+    return context_.tables.backends.find(*chosen);
+}
+
+net::awaitable<void> chat_driver::run()
+{
+    auto const& service = journal_->request().header.service;
+    context_.tables.retries.record_request(service);
+    int pauses = 0;
+    for (;;)
+    {
+        if (past_deadline())
+        {
+            journal_->fail(state::refusal_reason::deadline_exceeded);
+            break;
+        }
+        auto const backend = choose_backend();
+        if (!backend)
+        {
+            bool const started = journal_->last().count() > 0;
+            if (++pauses > (started ? most_rescues : most_no_backend_pauses))
+            {
+                journal_->fail(state::refusal_reason::no_backend);
+                break;
+            }
+            co_await sleep_for(home_.io(), started ? rescue_pause : no_backend_pause);
+            continue;
+        }
+        bool const again = co_await next_attempt(*backend);
+        if (!again)
+            break;
+    }
+    if (journal_->finished() == state::finish_reason::failed)
+        log(log_event::stream_failed, {{"request", journal_->request().header.id.str()}});
+    context_.tables.journals.retire(journal_, now(), context_.settings.journal_kept);
+}
+
+net::awaitable<bool> chat_driver::next_attempt(state::backend_view backend)
+{
+    count_replay(backend);
+    ++attempts_;
+    auto const outcome = co_await run_attempt(backend);
+    previous_ = backend;
+    if (auto const* failed = std::get_if<attempt_failed>(&outcome))
+        co_return co_await after_failure(backend, failed->reason);
+    co_return std::visit(
+        state::overloaded{
+            [&](attempt_finished const&)
+            {
+                context_.tables.backends.record_success(backend.id);
+                return false;
+            },
+            [&](attempt_ended const&)
+            {
+                if (!taken_over())
+                    journal_->fail(
+                        past_deadline() ? state::refusal_reason::deadline_exceeded
+                                        : state::refusal_reason::caller_left);
+                return false;
+            },
+            [&](attempt_refused const&)
+            {
+                journal_->fail(state::refusal_reason::backend_failed);
+                return false;
+            },
+            [&](attempt_moved const& moved)
+            {
+                kv_handle_ = moved.kv_handle;
+                routing_.tried = {backend.id};
+                routing_.failed_domains = {backend.failure_domain};
+                context_.tables.counters.increment(state::retry_reason::backend_leaving);
+                log(log_event::stream_moved,
+                    {{"request", journal_->request().header.id.str()}, {"from", backend.id.str()}});
+                return true;
+            },
+            [](attempt_failed const&) { return true; }},
+        outcome);
+}
+
+void chat_driver::count_replay(state::backend_view const& next)
+{
+    auto const done = journal_->last();
+    if (attempts_ == 0 || done.count() == 0)
+        return;
+    auto& counters = context_.tables.counters;
+    if (!kv_handle_.empty())
+    {
+        counters.increment(state::event_counter::streams_moved_by_export);
+        return;
+    }
+    auto const held = routing_.prompt + state::token_count{static_cast<std::int64_t>(done.count())};
+    auto const hit = context_.tables.prefixes.expected_hit(next.id, routing_.prefix, now());
+    counters.increment(state::event_counter::streams_replayed);
+    counters.increment(
+        state::event_counter::tokens_recomputed, static_cast<std::uint64_t>((held - hit).count()));
+}
+
+net::awaitable<bool>
+chat_driver::after_failure(state::backend_view backend, state::retry_reason reason)
+{
+    auto& tables = context_.tables;
+    tables.counters.increment(reason);
+    context_.record_failure(backend);
+    routing_.tried.insert(backend.id);
+    routing_.failed_domains.insert(backend.failure_domain);
+    kv_handle_.clear();
+    ++failures_;
+
+    coordination::failed_attempt const attempt{
+        journal_->request().header.service, coordination::repeat_safety::idempotent, reason,
+        failures_, deadline_};
+    auto const decision = tables.retries.decide(attempt, now(), home_.random());
+    if (auto const* retry = std::get_if<coordination::retry_after>(&decision))
+    {
+        co_await sleep_for(home_.io(), retry->delay);
+        co_return true;
+    }
+    auto const why = std::get<coordination::give_up>(decision).reason;
+    tables.counters.increment(why);
+    // The caller has a part of the answer: it was accepted, so it is finished, if more slowly.
+    bool const started = journal_->last().count() > 0;
+    bool const in_time = why != state::give_up_reason::deadline_too_close;
+    if (started && in_time && failures_ < most_rescues)
+    {
+        co_await sleep_for(home_.io(), rescue_pause);
+        co_return true;
+    }
+    journal_->fail(
+        in_time ? state::refusal_reason::backend_failed : state::refusal_reason::deadline_exceeded);
+    co_return false;
+}
+
+net::awaitable<chat_driver::attempt_outcome> chat_driver::run_attempt(state::backend_view backend)
+{
+    auto const config = context_.tables.configuration.current();
+    auto const* server = config->find(backend.id);
+    if (!server)
+        co_return attempt_failed{state::retry_reason::connect_failed};
+    state::attempt_token const token{protocol::random_hex(attempt_token_bytes)};
+    journal_->begin_attempt(token);
+    attempt_began_ = now();
+    first_token_seen_ = false;
+
+    auto const done = journal_->last();
+    http_call call;
+    call.method = "POST";
+    call.target = "/v1/chat/completions";
+    call.content_type = "application/json";
+    call.headers.emplace_back("X-Attempt-Id", token.str());
+    call.headers.emplace_back("X-Request-Id", journal_->request().header.id.str());
+    call.body = protocol::encode_engine_request(
+        journal_->request(), journal_->text(),
+        state::token_count{static_cast<std::int64_t>(done.count())}, kv_handle_);
+
+    auto& tables = context_.tables;
+    tables.counters.increment(state::event_counter::backend_attempts);
+    tables.backends.record_sent(backend.id, routing_.prompt);
+    auto opened = co_await home_.http().open(server->address, std::move(call), time_for_read());
+    attempt_outcome outcome = attempt_failed{state::retry_reason::connect_failed};
+    if (opened)
+    {
+        take_load(backend, opened.value().headers());
+        outcome = classify_status(backend, opened.value());
+        if (std::holds_alternative<attempt_finished>(outcome))
+            outcome = co_await read_answer(backend, opened.value(), token);
+    }
+    else if (opened.error() == http_fault::timed_out)
+        outcome = attempt_failed{state::retry_reason::stream_stalled};
+    else if (opened.error() != http_fault::connect_failed)
+        outcome = attempt_failed{state::retry_reason::stream_cut};
+    tables.backends.record_ended(backend.id);
+    if (past_deadline() && std::holds_alternative<attempt_failed>(outcome))
+        co_return attempt_ended{};
+    co_return outcome;
+}
+
+/// `attempt_finished` here means that the answer may be read.
+chat_driver::attempt_outcome
+chat_driver::classify_status(state::backend_view const& backend, http_stream const& stream)
+{
+    auto const status = stream.status();
+    if (status == http_ok)
+        return attempt_finished{};
+    if (protocol::says_leaving(std::string{stream.headers()["X-Engine-State"]}))
+    {
+        context_.mark_leaving(backend.id, std::nullopt, home_.random());
+        return attempt_moved{};
+    }
+    if (status == http_too_many || status == http_unavailable)
+        return attempt_failed{state::retry_reason::backend_overloaded};
+    if (status >= http_bad_request && status < http_server_error)
+        return attempt_refused{};
+    return attempt_failed{state::retry_reason::backend_error};
+}
+
+void chat_driver::take_load(state::backend_view const& backend, http_fields const& headers)
+{
+    auto const text = headers["X-Engine-Load"];
+    if (text.empty())
+        return;
+    auto const report = protocol::decode_load_header(std::string_view{text.data(), text.size()});
+    if (!report)
+        return;
+    auto timed = report.value();
+    timed.at = now();
+    context_.tables.backends.record_load(backend.id, timed);
+}
+
+net::awaitable<chat_driver::attempt_outcome> chat_driver::read_answer(
+    state::backend_view backend, http_stream& stream, state::attempt_token token)
+{
+    protocol::sse_parser parser;
+    for (;;)
+    {
+        auto const part = co_await stream.read(time_for_read());
+        if (!part && part.error() == http_fault::timed_out)
+            co_return attempt_failed{state::retry_reason::stream_stalled};
+        if (!part || part.value().empty() || !parser.feed(part.value()))
+            co_return attempt_failed{state::retry_reason::stream_cut};
+        auto const ended = take_events(parser, token);
+        if (ended)
+            co_return *ended;
+        auto const moved = co_await check_progress(backend, token, stream);
+        if (moved)
+            co_return *moved;
+    }
+}
+
+std::optional<chat_driver::attempt_outcome>
+chat_driver::take_events(protocol::sse_parser& parser, state::attempt_token const& token)
+{
+    while (auto const data = parser.next())
+    {
+        auto event = protocol::decode_engine_event(*data);
+        if (!event)
+            return attempt_failed{state::retry_reason::backend_error};
+        auto const ended = std::visit(
+            state::overloaded{
+                [&](protocol::engine_token& t) -> std::optional<attempt_outcome>
+                {
+                    auto const result = journal_->append(token, std::move(t.text));
+                    if (result == state::append_result::appended)
+                        return std::nullopt;
+                    context_.tables.counters.increment(state::event_counter::tokens_superseded);
+                    return attempt_ended{};
+                },
+                [&](protocol::engine_finish const& f) -> std::optional<attempt_outcome>
+                {
+                    if (f.reason == state::finish_reason::failed)
+                        return attempt_failed{state::retry_reason::backend_error};
+                    journal_->finish(token, f.reason);
+                    return attempt_finished{};
+                },
+                [](protocol::engine_done const&) -> std::optional<attempt_outcome>
+                { return attempt_failed{state::retry_reason::stream_cut}; },
+                [](protocol::engine_nothing const&) -> std::optional<attempt_outcome>
+                { return std::nullopt; }},
+            event.value());
+        if (ended)
+            return ended;
+    }
+    return std::nullopt;
+}
+
+net::awaitable<std::optional<chat_driver::attempt_outcome>> chat_driver::check_progress(
+    state::backend_view backend, state::attempt_token token, http_stream& stream)
+{
+    if (!first_token_seen_ && journal_->last().count() > 0)
+    {
+        first_token_seen_ = true;
+        context_.tables.backends.record_first_token(backend.id, now() - attempt_began_);
+        context_.tables.prefixes.stored(backend.id, routing_.prefix, now());
+    }
+    if (abandoned() || past_deadline() || taken_over())
+        co_return attempt_ended{};
+    if (journal_->undelivered() > most_undelivered_tokens)
+        co_await wait_for_reader();
+    if (now() < next_plan_ || !context_.tables.backends.is_leaving(backend.id))
+        co_return std::nullopt;
+    next_plan_ = now() + replan_period;
+    auto const plan = plan_for(backend);
+    if (std::holds_alternative<coordination::continue_in_place>(plan))
+    {
+        context_.tables.counters.increment(state::event_counter::streams_continued);
+        co_return std::nullopt;
+    }
+    attempt_moved moved;
+    if (std::holds_alternative<coordination::move_by_export>(plan))
+    {
+        auto const handle = co_await export_cache(backend, token, stream);
+        moved.kv_handle = handle.value_or("");
+    }
+    if (journal_->finished())
+        co_return attempt_finished{};
+    co_return moved;
+}
+
+coordination::resume_plan chat_driver::plan_for(state::backend_view const& leaving)
+{
+    auto const next = choose_backend();
+    if (!next)
+        return coordination::continue_in_place{};
+    auto const view = context_.tables.backends.find(leaving.id);
+    auto const done = state::token_count{static_cast<std::int64_t>(journal_->last().count())};
+    coordination::stream_progress progress;
+    progress.prompt = routing_.prompt;
+    progress.done = done;
+    progress.expected_rest = journal_->request().max_tokens - done;
+    auto const elapsed = std::chrono::duration<double>(now() - attempt_began_).count();
+    progress.decode_tokens_per_second =
+        view && view->report.decode_tokens_per_second > 0
+            ? view->report.decode_tokens_per_second
+            : static_cast<double>(done.count()) / std::max(elapsed, 0.001);
+    if (view && view->leaving && view->leaving->deadline)
+        progress.time_left = *view->leaving->deadline - now();
+    progress.export_offered = true;
+
+    coordination::resume_target target;
+    target.import_offered = true;
+    target.expected_hit = context_.tables.prefixes.expected_hit(next->id, routing_.prefix, now());
+    target.prefill_tokens_per_second = next->report.prefill_tokens_per_second;
+    target.other_region = next->region != leaving.region;
+    return coordination::plan_resume(progress, target, {});
+}
+
+net::awaitable<std::optional<std::string>> chat_driver::export_cache(
+    state::backend_view backend, state::attempt_token token, http_stream& stream)
+{
+    auto const config = context_.tables.configuration.current();
+    auto const* server = config->find(backend.id);
+    if (!server)
+        co_return std::nullopt;
+    http_call call;
+    call.method = "POST";
+    call.target = "/v1/kv/export";
+    call.content_type = "application/json";
+    call.body = protocol::encode_export_request(token);
+    auto const reply =
+        co_await home_.http().call(server->address, std::move(call), time_for_read());
+    if (!reply || reply.value().status != http_ok)
+        co_return std::nullopt;
+    auto const handle = protocol::decode_export_reply(reply.value().body);
+    if (!handle)
+        co_return std::nullopt;
+    // What the engine sent before it stopped belongs to the exported state.
+    protocol::sse_parser parser;
+    auto const rest = co_await stream.read_rest(export_reply_limit, time_for_read());
+    if (rest && parser.feed(rest.value()))
+        (void)take_events(parser, token);
+    co_return handle.value();
+}
+
+net::awaitable<void> chat_driver::wait_for_reader()
+{
+    auto const signal = std::make_shared<async_signal>(home_.io());
+    auto const key = journal_->listen([signal] { signal->notify(); });
+    while (journal_->undelivered() > most_undelivered_tokens / 2 && !abandoned() &&
+           !past_deadline() && !taken_over())
+        co_await signal->wait(reader_pause);
+    journal_->unlisten(key);
+}
+
+} // namespace auburnweir::transport
--- /dev/null
+++ b/src/transport/chat_driver.hpp
@@ -0,0 +1,100 @@
+#ifndef AUBURNWEIR_TRANSPORT_CHAT_DRIVER_HPP
+#define AUBURNWEIR_TRANSPORT_CHAT_DRIVER_HPP
+
+#include "coordination/resume_planner.hpp"
+#include "protocol/sse.hpp"
+#include "transport/entry_context.hpp"
+
+#include <optional>
+#include <set>
+#include <variant>
+
+namespace auburnweir::transport
+{
+
+/// Drives one chat request to the end of its answer, over as many engines as it takes.
+///
+/// Engines' tokens go into the journal; callers read them from there. The driver ends early only
+/// when nobody reads, the deadline passes, or another instance took the request over.
+class chat_driver : public std::enable_shared_from_this<chat_driver>
+{
+public:
+    chat_driver(
+        entry_context& context, worker& home, state::journal_ptr journal, admission_slot slot);
+
+    /// The request's time limit; without one it may take as long as the answer.
+    void set_deadline(std::optional<state::time_point> deadline) { deadline_ = deadline; }
+
+    /// Goes on even when nobody reads the answer.
+    void keep_without_reader() { needs_reader_ = false; }
+
+    /// Starts the driver on its worker.
+    void start();
+
+    net::awaitable<void> run();
+
+private:
+    struct attempt_finished
+    {
+    };
+    struct attempt_ended ///< nothing more to do: no reader, past the deadline, or taken over
+    {
+    };
+    struct attempt_refused ///< the engine will never take it
+    {
+    };
+    struct attempt_moved ///< the engine leaves; `kv_handle` is set when its cache was exported
+    {
+        std::string kv_handle;
+    };
+    struct attempt_failed
+    {
+        state::retry_reason reason;
+    };
+    using attempt_outcome = std::variant<
+        attempt_finished, attempt_ended, attempt_refused, attempt_moved, attempt_failed>;
+
+    std::optional<state::backend_view> choose_backend();
+    net::awaitable<bool> next_attempt(state::backend_view backend);
+    net::awaitable<attempt_outcome> run_attempt(state::backend_view backend);
+    net::awaitable<attempt_outcome>
+    read_answer(state::backend_view backend, http_stream& stream, state::attempt_token token);
+    std::optional<attempt_outcome>
+    take_events(protocol::sse_parser& parser, state::attempt_token const& token);
+    net::awaitable<std::optional<attempt_outcome>>
+    check_progress(state::backend_view backend, state::attempt_token token, http_stream& stream);
+    net::awaitable<std::optional<std::string>>
+    export_cache(state::backend_view backend, state::attempt_token token, http_stream& stream);
+    net::awaitable<bool> after_failure(state::backend_view backend, state::retry_reason reason);
+    net::awaitable<void> wait_for_reader();
+
+    coordination::resume_plan plan_for(state::backend_view const& leaving);
+    attempt_outcome classify_status(state::backend_view const& backend, http_stream const& stream);
+    void take_load(state::backend_view const& backend, http_fields const& headers);
+    void count_replay(state::backend_view const& next);
+    bool abandoned() const;
+    bool past_deadline() const;
+    bool taken_over() const;
+    state::duration time_for_read() const;
+
+    entry_context& context_;
+    worker& home_;
+    state::journal_ptr journal_;
+    admission_slot slot_;
+    activity_count::scope active_;
+    std::optional<state::time_point> deadline_;
+    bool needs_reader_ = true;
+
+    coordination::routing_request routing_;
+    std::string kv_handle_;
+    int attempts_ = 0;
+    int failures_ = 0;
+    state::time_point attempt_began_{};
+    bool first_token_seen_ = false;
+    state::time_point next_plan_{};
+    std::optional<state::backend_view> previous_;
+};
+
+} // namespace auburnweir::transport
+
+#endif
--- /dev/null
+++ b/src/transport/entry_context.hpp
@@ -0,0 +1,112 @@
+#ifndef AUBURNWEIR_TRANSPORT_ENTRY_CONTEXT_HPP
+#define AUBURNWEIR_TRANSPORT_ENTRY_CONTEXT_HPP
+
+#include "coordination/outlier_detector.hpp"
+#include "coordination/prefix_index.hpp"
+#include "coordination/retry_policy.hpp"
+#include "coordination/router.hpp"
+#include "protocol/entry_settings.hpp"
+#include "state/backend_table.hpp"
+#include "state/configuration_table.hpp"
+#include "state/counters.hpp"
+#include "state/instance_table.hpp"
+#include "state/journal.hpp"
+#include "transport/admission_gate.hpp"
+#include "transport/ledger_store.hpp"
+#include "transport/peer_links.hpp"
+#include "transport/timer_service.hpp"
+#include "transport/worker_pool.hpp"
+
+#include <atomic>
+
+namespace auburnweir::transport
+{
+
+/// The tables that all workers of an entry instance share. Each has its own lock and rank.
+struct entry_tables
+{
+    explicit entry_tables(protocol::entry_settings const& settings);
+
+    state::configuration_table configuration;
+    state::backend_table backends;
+    state::instance_table instances;
+    state::journal_table journals;
+    state::counters counters;
+    coordination::prefix_index prefixes;
+    coordination::router router;
+    coordination::retry_policy retries;
+    coordination::outlier_detector outliers;
+    admission_gate admission;
+};
+
+/// A tag for the tokens that this instance is about to produce.
+state::generation_tag new_generation();
+
+/// Counts requests in progress, so that a stop can wait for them.
+class activity_count
+{
+public:
+    /// One request in progress, until it goes out of scope.
+    class scope
+    {
+    public:
+        explicit scope(activity_count& owner)
+            : owner_(&owner)
+        {
+            ++owner_->count_;
+        }
+        scope(scope&& other) noexcept
+            : owner_(std::exchange(other.owner_, nullptr))
+        {
+        }
+        scope& operator=(scope&&) = delete;
+        ~scope()
+        {
+            if (owner_)
+                --owner_->count_;
+        }
+
+    private:
+        activity_count* owner_;
+    };
+
+    scope begin() { return scope{*this}; }
+    std::int64_t value() const { return count_; }
+
+private:
+    std::atomic<std::int64_t> count_{0};
+};
+
+/// What the handlers of an entry instance work with; owned by `entry_server`.
+struct entry_context
+{
+    protocol::entry_settings const& settings;
+    state::instance self;
+    entry_tables& tables;
+    worker_pool& workers;
+    timer_service& timers;
+    peer_links& peers;
+    ledger_store& ledger;
+    activity_count& activity;
+    std::atomic<bool>& stopping;
+
+    platform_client platform(worker& w) const
+    {
+        return {w.http(), settings.platform, settings.store_timeout};
+    }
+
+    /// Backend servers of a service that this instance may send new work to.
+    std::vector<state::backend_view> candidates(state::service_id const& service) const;
+
+    /// Notes a failed call to a backend server, and ejects it when it fails too often.
+    void record_failure(state::backend_view const& backend) const;
+
+    /// Marks a backend server as leaving, and tells other instances when the mark is new.
+    void mark_leaving(
+        state::backend_id const& backend, std::optional<state::duration> time_left,
+        std::mt19937_64& random) const;
+};
+
+} // namespace auburnweir::transport
+
+#endif
--- /dev/null
+++ b/src/transport/entry_server.cpp
@@ -0,0 +1,212 @@
+#include "transport/entry_server.hpp"
+
+#include "transport/backend_poll.hpp"
+#include "transport/caller_listener.hpp"
+#include "transport/clock.hpp"
+#include "transport/entry_context.hpp"
+#include "transport/log.hpp"
+#include "transport/peer_service.hpp"
+#include "transport/platform_watch.hpp"
+#include "transport/review_runner.hpp"
+
+#include <csignal>
+#include <random>
+
+namespace auburnweir::transport
+{
+
+namespace
+{
+
+constexpr state::duration activity_period = std::chrono::milliseconds{20};
+constexpr state::duration housekeeping_period = std::chrono::seconds{1};
+constexpr state::duration engine_poll_period = std::chrono::milliseconds{500};
+constexpr state::duration handover_pause = std::chrono::milliseconds{200};
+constexpr double share_of_notice_for_finishing = 0.6;
+
+state::instance own_instance(protocol::entry_settings const& settings)
+{
+    state::instance self;
+    self.id = settings.id;
+    self.epoch =
+        state::incarnation{static_cast<std::uint64_t>(wall_now().time_since_epoch().count())};
+    self.failure_domain = settings.failure_domain;
+    self.region = settings.region;
+    return self;
+}
+
+ledger_store::dependencies ledger_dependencies(
+    protocol::entry_settings const& settings, entry_tables& tables, worker_pool& workers,
+    peer_links& peers)
+{
+    coordination::group_commit_settings grouping;
+    grouping.window = settings.group_window;
+    return {workers.at(0),   settings.id,       tables.instances,       peers,
+            tables.counters, settings.platform, settings.store_timeout, grouping};
+}
+
+} // namespace
+
+/// All managers, in the order in which they are built; destroyed in reverse.
+struct entry_server::parts
+{
+    parts(protocol::entry_settings s, std::uint64_t seed)
+        : settings(std::move(s))
+        , tables(settings)
+        , peers(
+              settings.id, settings.peer_key,
+              [this](auto const& from, auto via, protocol::peer_message m)
+              { service.receive(from, via, std::move(m)); })
+        , workers(static_cast<std::size_t>(settings.workers), seed)
+        , timers(workers.at(0).io())
+        , ledger(ledger_dependencies(settings, tables, workers, peers))
+        , context{settings, own_instance(settings),
+                  tables,   workers,
+                  timers,   peers,
+                  ledger,   activity,
+                  stopping}
+        , service(context)
+        , platform(context, [this](state::duration left) { begin_stop(left); })
+        , engines(context)
+        , reviews(context)
+        , listener(context)
+        , signals(workers.at(0).io(), SIGTERM, SIGINT)
+    {
+    }
+
+    void subscribe();
+    void begin_stop(std::optional<state::duration> time_left);
+    net::awaitable<void> stop(std::optional<state::duration> time_left);
+
+    protocol::entry_settings settings;
+    entry_tables tables;
+    activity_count activity;
+    std::atomic<bool> stopping{false};
+    peer_links peers;
+    worker_pool workers;
+    timer_service timers;
+    ledger_store ledger;
+    entry_context context;
+    peer_service service;
+    platform_watch platform;
+    backend_poll engines;
+    review_runner reviews;
+    caller_listener listener;
+    net::signal_set signals;
+    std::vector<timer_subscription> subscriptions;
+    std::uint16_t caller_port = 0;
+    std::uint16_t peer_port = 0;
+};
+
+void entry_server::parts::subscribe()
+{
+    auto const every = [this](state::duration period, timer_service::handler f)
+    { subscriptions.push_back(timers.every(period, std::move(f))); };
+    every(settings.poll_period, [this] { platform.poll(); });
+    every(settings.adopt_delay, [this] { service.watch_owners(); });
+    every(settings.review_scan, [this] { reviews.scan(); });
+    every(engine_poll_period, [this] { engines.poll(); });
+    every(
+        housekeeping_period,
+        [this]
+        {
+            tables.journals.expire(now());
+            peers.sweep(now());
+        });
+    signals.async_wait(
+        [this](error_code fault, int)
+        {
+            if (!fault)
+                begin_stop(std::nullopt);
+        });
+}
+
+void entry_server::parts::begin_stop(std::optional<state::duration> time_left)
+{
+    if (stopping.exchange(true))
+        return;
+    log(log_event::entry_stopping, {{"instance", settings.id.str()}});
+    net::co_spawn(workers.at(0).io(), stop(time_left), net::detached);
+}
+
+net::awaitable<void> entry_server::parts::stop(std::optional<state::duration> time_left)
+{
+    auto& io = workers.at(0).io();
+    auto limit = settings.drain_limit;
+    if (time_left)
+        limit = std::min(
+            limit, std::chrono::duration_cast<state::duration>(
+                       *time_left * share_of_notice_for_finishing));
+    auto const until = now() + limit;
+    co_await sleep_for(io, std::min(settings.readiness_delay, limit));
+    listener.close();
+    while (activity.value() > 0 && now() < until)
+        co_await sleep_for(io, activity_period);
+    service.hand_over();
+    co_await sleep_for(io, handover_pause);
+    workers.stop();
+}
+
+entry_server::entry_server(std::unique_ptr<parts> p)
+    : parts_(std::move(p))
+{
+}
+
+entry_server::~entry_server() = default;
+
+std::uint16_t entry_server::caller_port() const
+{
+    return parts_->caller_port;
+}
+
+std::uint16_t entry_server::peer_port() const
+{
+    return parts_->peer_port;
+}
+
+void entry_server::run()
+{
+    parts_->subscribe();
+    parts_->peers.start();
+    parts_->listener.start();
+    parts_->workers.start();
+    log(log_event::entry_started, {{"instance", parts_->settings.id.str()}});
+    parts_->workers.join();
+    parts_->peers.stop();
+    log(log_event::entry_stopped, {{"instance", parts_->settings.id.str()}});
+}
+
+entry_server::builder& entry_server::builder::settings(protocol::entry_settings value)
+{
+    settings_ = std::move(value);
+    return *this;
+}
+
+entry_server::builder& entry_server::builder::configuration(state::configuration_ptr value)
+{
+    configuration_ = std::move(value);
+    return *this;
+}
+
+entry_server::builder& entry_server::builder::seed(std::uint64_t value)
+{
+    seed_ = value;
+    return *this;
+}
+
+std::unique_ptr<entry_server> entry_server::builder::build(std::string& fault)
+{
+    auto p = std::make_unique<parts>(settings_, seed_.value_or(std::random_device{}()));
+    p->tables.configuration.take(state::configuration_version{1}, configuration_);
+    p->tables.backends.apply(*configuration_, now());
+    p->caller_port = p->listener.listen(settings_.listen);
+    p->peer_port = p->peers.listen(settings_.peer_listen);
+    if (p->caller_port == 0 || p->peer_port == 0)
+    {
+        fault = "an address to listen on can't be had";
+        return nullptr;
+    }
+    return std::unique_ptr<entry_server>{new entry_server(std::move(p))};
+}
+
+} // namespace auburnweir::transport
--- /dev/null
+++ b/src/transport/journal_replicator.hpp
@@ -0,0 +1,50 @@
+#ifndef AUBURNWEIR_TRANSPORT_JOURNAL_REPLICATOR_HPP
+#define AUBURNWEIR_TRANSPORT_JOURNAL_REPLICATOR_HPP
+
+#include "transport/entry_context.hpp"
+
+#include <memory>
+
+namespace auburnweir::transport
+{
+
+/// Keeps a replica of one journal on an instance in another failure domain.
+///
+/// Callers see tokens only after the replica has them, so that whoever takes the request over
+/// cannot contradict what a caller saw. When no replica answers in time, the answer goes on
+/// without one. When the replica reports that another instance drives the request, the journal
+/// yields to that instance and follows it.
+class journal_replicator : public std::enable_shared_from_this<journal_replicator>
+{
+public:
+    journal_replicator(entry_context& context, worker& home, state::journal_ptr journal);
+
+    /// Holds the journal back and starts on its worker.
+    void start();
+
+private:
+    enum class feed_result
+    {
+        finished,
+        replica_lost,
+        superseded
+    };
+
+    net::awaitable<void> run();
+    net::awaitable<protocol::ack_status> open_at(state::instance replica);
+    net::awaitable<feed_result> feed(state::instance replica);
+    net::awaitable<void> follow(state::instance driver);
+    net::awaitable<std::optional<protocol::journal_ack>>
+    append_at(state::instance replica, state::journal_part part);
+    protocol::journal_key key() const;
+
+    entry_context& context_;
+    worker& home_;
+    state::journal_ptr journal_;
+    signal_ptr changed_;
+    state::sequence_number sent_;
+};
+
+} // namespace auburnweir::transport
+
+#endif
--- /dev/null
+++ b/src/transport/ledger_store.hpp
@@ -0,0 +1,65 @@
+#ifndef AUBURNWEIR_TRANSPORT_LEDGER_STORE_HPP
+#define AUBURNWEIR_TRANSPORT_LEDGER_STORE_HPP
+
+#include "coordination/group_commit.hpp"
+#include "state/counters.hpp"
+#include "state/instance_table.hpp"
+#include "transport/peer_links.hpp"
+#include "transport/platform_client.hpp"
+#include "transport/worker_pool.hpp"
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace auburnweir::transport
+{
+
+/// Conditional writes to the table service, gathered into transactions over all instances.
+///
+/// A row's shard names one instance that gathers its writes; a write goes there over the peer
+/// link, or straight to the table service when that instance is not reachable. A wrong choice
+/// costs a write, never safety, since each write is conditional. Thread-safe; takes
+/// `lock_rank::group_commit`.
+class ledger_store
+{
+public:
+    struct dependencies
+    {
+        worker& home; ///< runs the transactions
+        state::instance_id self;
+        state::instance_table& instances;
+        peer_links& peers;
+        state::counters& counters;
+        state::endpoint platform;
+        state::duration store_timeout;
+        coordination::group_commit_settings grouping;
+    };
+
+    explicit ledger_store(dependencies d);
+
+    /// Writes from any worker's coroutine; resumes on that worker.
+    net::awaitable<state::write_result> write(worker& from, state::table_write what);
+
+    net::awaitable<state::read_result> read(worker& from, state::row_key key);
+
+    /// Writes for a peer: gathered here, never passed on. `on_result` runs on the home worker.
+    void write_here(state::table_write what, std::function<void(state::write_result)> on_result);
+
+private:
+    net::awaitable<state::write_result> write_locally(worker& from, state::table_write what);
+    void pump();
+    net::awaitable<void> run(coordination::group_commit::batch batch);
+    void deliver(coordination::write_ticket ticket, state::write_result result);
+
+    dependencies d_;
+    state::ranked_mutex mutex_{state::lock_rank::group_commit};
+    coordination::group_commit grouping_;
+    std::unordered_map<std::uint64_t, std::function<void(state::write_result)>> waiting_;
+    std::uint64_t last_ticket_ = 0;
+    net::steady_timer due_;
+};
+
+} // namespace auburnweir::transport
+
+#endif
--- /dev/null
+++ b/src/transport/log.hpp
@@ -0,0 +1,78 @@
+#ifndef AUBURNWEIR_TRANSPORT_LOG_HPP
+#define AUBURNWEIR_TRANSPORT_LOG_HPP
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace auburnweir::transport
+{
+
+/// Numbered log events. Numbers are never used again for another event.
+enum class log_event : int
+{
+    entry_started = 1001,
+    entry_stopping = 1002,
+    entry_stopped = 1003,
+    configuration_taken = 1101,
+    configuration_refused = 1102,
+    platform_unreachable = 1201,
+    platform_reachable = 1202,
+    backend_leaving = 2101,
+    backend_ejected = 2102,
+    instance_leaving = 2103,
+    instance_appeared = 2104,
+    instance_gone = 2105,
+    stream_moved = 2201,
+    stream_failed = 2202,
+    journal_adopted = 2203,
+    journal_unreplicated = 2204,
+    ledger_row_malformed = 2301,
+    ledger_release_failed = 2302,
+    ledger_answer_deferred = 2303,
+    review_accepted = 2401,
+    review_claimed = 2402,
+    review_finished = 2403,
+    review_failed = 2404,
+    peer_link_open = 3101,
+    peer_link_closed = 3102,
+    peer_refused = 3103,
+    peer_frame_malformed = 3104,
+    handler_failed = 9001
+};
+
+enum class log_level
+{
+    debug,
+    info,
+    warning,
+    error
+};
+
+/// One row of the catalogue.
+struct log_event_description
+{
+    log_event event;
+    log_level level;
+    std::string_view name;
+    std::string_view meaning;
+};
+
+/// All events, by number.
+std::vector<log_event_description> const& log_catalogue();
+
+/// The catalogue as the table of docs/EVENTS.md.
+std::string log_catalogue_markdown();
+
+using log_fields = std::vector<std::pair<std::string_view, std::string>>;
+
+/// Sends the log to standard error, from `level` on (`debug`, `info`, `warning`, `error`).
+void start_log(std::string const& level);
+
+/// The only way to log: `AW<number> <name> key=value ...`.
+void log(log_event event, log_fields const& fields = {});
+
+} // namespace auburnweir::transport
+
+#endif
--- /dev/null
+++ b/src/transport/operation_caller.cpp
@@ -0,0 +1,158 @@
+#include "transport/operation_caller.hpp"
+
+#include "protocol/engine_codec.hpp"
+#include "transport/clock.hpp"
+
+namespace auburnweir::transport
+{
+
+namespace
+{
+
+constexpr int http_too_many = 429;
+constexpr int http_server_error = 500;
+constexpr int http_unavailable = 503;
+
+std::string text_of(http_fields const& headers, char const* name)
+{
+    auto const value = headers[name];
+    return std::string{value.data(), value.size()};
+}
+
+/// A backend server's statement that it did not run the operation.
+bool proves_not_run(http_reply const& reply)
+{
+    return text_of(reply.headers, "X-Operation-Run") == "not_run";
+}
+
+} // namespace
+
+operation_caller::operation_caller(
+    entry_context& context, worker& home, state::operation_request const& request,
+    std::optional<state::time_point> deadline)
+    : context_(context)
+    , home_(home)
+    , request_(request)
+    , deadline_(deadline)
+{
+    routing_.prompt = state::estimated_tokens(request.body);
+    routing_.region = context.self.region;
+}
+
+std::optional<state::backend_view> operation_caller::choose()
+{
+    auto const candidates = context_.candidates(request_.header.service);
+    auto chosen = context_.tables.router.choose(candidates, routing_, now(), home_.random());
+    if (!chosen && !routing_.tried.empty())
+    {
+        routing_.tried.clear();
+        chosen = context_.tables.router.choose(candidates, routing_, now(), home_.random());
+    }
+    return chosen ? context_.tables.backends.find(*chosen) : std::nullopt;
+}
+
+net::awaitable<operation_outcome> operation_caller::call(bool idempotent)
+{
+    auto& tables = context_.tables;
+    tables.retries.record_request(request_.header.service);
+    for (int number = 1;; ++number)
+    {
+        auto const backend = choose();
+        if (!backend)
+            co_return coordination::backend_did_not_run{};
+        auto result = co_await attempt(*backend, idempotent);
+        if (!result.failure)
+        {
+            tables.backends.record_success(backend->id);
+            co_return std::move(result.outcome);
+        }
+        tables.counters.increment(*result.failure);
+        context_.record_failure(*backend);
+        routing_.tried.insert(backend->id);
+        routing_.failed_domains.insert(backend->failure_domain);
+
+        bool const not_run =
+            std::holds_alternative<coordination::backend_did_not_run>(result.outcome);
+        coordination::failed_attempt failed;
+        failed.service = request_.header.service;
+        failed.cause = *result.failure;
+        failed.number = number;
+        failed.deadline = deadline_;
+        if (idempotent)
+            failed.safety = coordination::repeat_safety::idempotent;
+        else if (not_run)
+            failed.safety = coordination::repeat_safety::proved_not_run;
+        auto const decision = tables.retries.decide(failed, now(), home_.random());
+        if (auto const* stop = std::get_if<coordination::give_up>(&decision))
+        {
+            tables.counters.increment(stop->reason);
+            co_return std::move(result.outcome);
+        }
+        co_await sleep_for(home_.io(), std::get<coordination::retry_after>(decision).delay);
+    }
+}
+
+net::awaitable<operation_caller::attempt_result>
+operation_caller::attempt(state::backend_view backend, bool idempotent)
+{
+    auto const config = context_.tables.configuration.current();
+    auto const* server = config->find(backend.id);
+    if (!server)
+        co_return attempt_result{
+            coordination::backend_did_not_run{}, state::retry_reason::connect_failed};
+    http_call call;
+    call.method = "POST";
+    call.target = "/" + request_.operation.str();
+    call.content_type = request_.content_type;
+    call.headers.emplace_back("X-Request-Id", request_.header.id.str());
+    if (request_.key)
+        call.headers.emplace_back("Idempotency-Key", request_.key->str());
+    call.body = request_.body;
+
+    auto limit = context_.settings.stall_timeout;
+    if (deadline_)
+        limit = std::clamp(*deadline_ - now(), state::duration{1000}, limit);
+    auto const use = idempotent ? connection_use::kept : connection_use::fresh;
+    auto& tables = context_.tables;
+    tables.counters.increment(state::event_counter::backend_attempts);
+    tables.backends.record_sent(backend.id, routing_.prompt);
+    auto reply = co_await home_.http().call(server->address, std::move(call), limit, use);
+    tables.backends.record_ended(backend.id);
+    if (reply)
+        co_return read_reply(backend, reply.value(), idempotent);
+    switch (reply.error())
+    {
+    case http_fault::connect_failed:
+        co_return attempt_result{
+            coordination::backend_did_not_run{}, state::retry_reason::connect_failed};
+    case http_fault::timed_out:
+        co_return attempt_result{coordination::backend_lost{}, state::retry_reason::stream_stalled};
+    case http_fault::lost:
+    case http_fault::too_large:
+        break;
+    }
+    co_return attempt_result{coordination::backend_lost{}, state::retry_reason::stream_cut};
+}
+
+operation_caller::attempt_result
+operation_caller::read_reply(state::backend_view const& backend, http_reply& reply, bool idempotent)
+{
+    if (protocol::says_leaving(text_of(reply.headers, "X-Engine-State")))
+        context_.mark_leaving(backend.id, std::nullopt, home_.random());
+    if (proves_not_run(reply))
+        return {coordination::backend_did_not_run{}, state::retry_reason::not_run_by_backend};
+    state::operation_answer answer{
+        reply.status, text_of(reply.headers, "Content-Type"), std::move(reply.body)};
+    if (!idempotent || reply.status < http_server_error)
+    {
+        bool const overloaded = idempotent && reply.status == http_too_many;
+        if (!overloaded)
+            return {coordination::backend_answered{std::move(answer)}, std::nullopt};
+    }
+    auto const reason = reply.status == http_unavailable || reply.status == http_too_many
+                            ? state::retry_reason::backend_overloaded
+                            : state::retry_reason::backend_error;
+    return {coordination::backend_answered{std::move(answer)}, reason};
+}
+
+} // namespace auburnweir::transport
--- /dev/null
+++ b/src/transport/operation_caller.hpp
@@ -0,0 +1,50 @@
+#ifndef AUBURNWEIR_TRANSPORT_OPERATION_CALLER_HPP
+#define AUBURNWEIR_TRANSPORT_OPERATION_CALLER_HPP
+
+#include "coordination/operation_run.hpp"
+#include "coordination/retry_policy.hpp"
+#include "transport/entry_context.hpp"
+
+#include <optional>
+#include <variant>
+
+namespace auburnweir::transport
+{
+
+/// What came of calling backend servers for one operation.
+using operation_outcome = std::variant<
+    coordination::backend_answered, coordination::backend_did_not_run, coordination::backend_lost>;
+
+/// Calls backend servers for one operation until one answers or trying again is not allowed.
+class operation_caller
+{
+public:
+    operation_caller(
+        entry_context& context, worker& home, state::operation_request const& request,
+        std::optional<state::time_point> deadline);
+
+    /// @param idempotent  whether the operation may be repeated after a lost answer
+    net::awaitable<operation_outcome> call(bool idempotent);
+
+private:
+    struct attempt_result
+    {
+        operation_outcome outcome;
+        std::optional<state::retry_reason> failure; ///< null for an answer to return
+    };
+
+    net::awaitable<attempt_result> attempt(state::backend_view backend, bool idempotent);
+    std::optional<state::backend_view> choose();
+    attempt_result
+    read_reply(state::backend_view const& backend, http_reply& reply, bool idempotent);
+
+    entry_context& context_;
+    worker& home_;
+    state::operation_request const& request_;
+    std::optional<state::time_point> deadline_;
+    coordination::routing_request routing_;
+};
+
+} // namespace auburnweir::transport
+
+#endif
--- /dev/null
+++ b/src/transport/operation_handler.cpp
@@ -0,0 +1,287 @@
+#include "coordination/operation_run.hpp"
+#include "protocol/digest.hpp"
+#include "protocol/record_codec.hpp"
+#include "state/overloaded.hpp"
+#include "transport/caller_handler.hpp"
+#include "transport/clock.hpp"
+#include "transport/log.hpp"
+#include "transport/operation_caller.hpp"
+
+namespace auburnweir::transport
+{
+
+namespace
+{
+
+using state::run_outcome;
+
+constexpr std::size_t request_id_bytes = 12;
+constexpr std::size_t attempt_token_bytes = 12;
+constexpr state::duration background_pause = std::chrono::seconds{2};
+constexpr int most_background_attempts = 150;
+
+/// Digest of what makes two calls the same operation.
+state::sha256_digest fingerprint_of(state::operation_request const& request)
+{
+    return protocol::sha256(
+        request.header.service.str() + "\n" + request.operation.str() + "\n" + request.body);
+}
+
+/// Result of a ledger write as an event of the operation's state machine.
+coordination::operation_event event_of(state::write_result const& result)
+{
+    using event = coordination::operation_event;
+    return std::visit(
+        state::overloaded{
+            [](state::write_done const& r) -> event
+            { return coordination::ledger_write_done{r.version}; },
+            [](state::write_lost const&) -> event { return coordination::ledger_write_lost{}; },
+            [](state::write_refused const&) -> event
+            { return coordination::ledger_write_refused{}; },
+            [](state::write_conflict const& r) -> event
+            {
+                if (r.current.version.count() == 0)
+                    return coordination::ledger_write_conflict{std::nullopt};
+                auto record = protocol::decode_ledger_record(r.current.value);
+                if (!record)
+                    return coordination::ledger_read_failed{};
+                return coordination::ledger_write_conflict{
+                    state::ledger_row{r.current.version, std::move(record.value())}};
+            }},
+        result);
+}
+
+coordination::operation_event event_of(state::read_result const& result)
+{
+    using event = coordination::operation_event;
+    return std::visit(
+        state::overloaded{
+            [](state::table_row const& row) -> event
+            {
+                auto record = protocol::decode_ledger_record(row.value);
+                if (!record)
+                {
+                    log(log_event::ledger_row_malformed, {{"row", row.key.str()}});
+                    return coordination::ledger_read_failed{};
+                }
+                return coordination::ledger_row_read{
+                    state::ledger_row{row.version, std::move(record.value())}};
+            },
+            [](state::row_absent const&) -> event
+            { return coordination::ledger_row_read{std::nullopt}; },
+            [](state::read_failed const&) -> event { return coordination::ledger_read_failed{}; }},
+        result);
+}
+
+coordination::operation_event event_of(operation_outcome outcome)
+{
+    return std::visit(
+        [](auto&& o) -> coordination::operation_event { return std::move(o); }, std::move(outcome));
+}
+
+/// Brings a row of ours to `wanted` in the background: frees a key that did not run, or records
+/// an answer that was returned before it could be written.
+net::awaitable<void>
+settle_row(entry_context& context, worker& home, state::row_key key, state::ledger_record wanted)
+{
+    for (int i = 0; i < most_background_attempts; ++i)
+    {
+        auto const read = co_await context.ledger.read(home, key);
+        if (!std::holds_alternative<state::read_failed>(read))
+        {
+            state::table_write write{key, state::row_version{0}, protocol::encode(wanted)};
+            if (auto const* row = std::get_if<state::table_row>(&read))
+            {
+                auto const record = protocol::decode_ledger_record(row->value);
+                bool const ours = record && record.value().attempt == wanted.attempt;
+                if (!ours || record.value() == wanted)
+                    co_return;
+                write.expect = row->version;
+            }
+            auto const written = co_await context.ledger.write(home, std::move(write));
+            if (std::holds_alternative<state::write_done>(written))
+                co_return;
+        }
+        co_await sleep_for(home.io(), background_pause);
+    }
+    log(log_event::ledger_release_failed, {{"row", key.str()}});
+}
+
+/// Runs one keyed operation through the ledger; calls itself no decision of its own.
+class keyed_operation
+{
+public:
+    keyed_operation(caller_call& call, state::operation_request const& request)
+        : call_(call)
+        , request_(request)
+        , key_(protocol::ledger_key(call.organisation.id, request.header.service, *request.key))
+        , attempt_(protocol::random_hex(attempt_token_bytes))
+        , fingerprint_(fingerprint_of(request))
+        , run_(attempt_, call.context.self.id, fingerprint_)
+    {
+    }
+
+    net::awaitable<bool> run()
+    {
+        call_.context.tables.counters.increment(state::event_counter::ledger_operations);
+        auto command = run_.start();
+        for (;;)
+        {
+            if (auto* answer = std::get_if<coordination::reply_answer>(&command))
+                co_return co_await reply(std::move(*answer));
+            if (auto const* refusal = std::get_if<coordination::reply_refusal>(&command))
+                co_return co_await reply(*refusal);
+            auto const event = co_await carry_out(std::move(command));
+            command = run_.handle(event);
+        }
+    }
+
+private:
+    net::awaitable<coordination::operation_event> carry_out(coordination::operation_command command)
+    {
+        auto& ledger = call_.context.ledger;
+        if (auto const* write = std::get_if<coordination::write_row>(&command))
+        {
+            state::table_write row{key_, write->expect, protocol::encode(write->record)};
+            co_return event_of(co_await ledger.write(call_.home, std::move(row)));
+        }
+        if (std::holds_alternative<coordination::read_row>(command))
+        {
+            call_.context.tables.counters.increment(
+                state::event_counter::ledger_writes_settled_by_read);
+            co_return event_of(co_await ledger.read(call_.home, key_));
+        }
+        if (auto const* wait = std::get_if<coordination::wait>(&command))
+        {
+            co_await sleep_for(call_.home.io(), wait->length);
+            co_return coordination::wait_over{};
+        }
+        operation_caller caller(call_.context, call_.home, request_, call_.deadline);
+        co_return event_of(co_await caller.call(false));
+    }
+
+    net::awaitable<bool> reply(coordination::reply_answer answer)
+    {
+        if (answer.repeated)
+            call_.context.tables.counters.increment(state::event_counter::ledger_answers_repeated);
+        if (!answer.stored)
+        {
+            log(log_event::ledger_answer_deferred, {{"row", key_.str()}});
+            settle(state::ledger_answered{answer.answer});
+        }
+        caller_reply out;
+        out.status = answer.answer.status;
+        out.content_type = answer.answer.content_type;
+        out.body = std::move(answer.answer.body);
+        out.headers = {
+            {"X-Request-Id", request_.header.id.str()},
+            {"Idempotency-Replayed", answer.repeated ? "true" : "false"}};
+        call_.context.tables.counters.increment(state::event_counter::requests_completed);
+        co_return co_await call_.writer.send(std::move(out));
+    }
+
+    net::awaitable<bool> reply(coordination::reply_refusal refusal)
+    {
+        if (refusal.release_needed)
+            settle(state::ledger_released{});
+        protocol::problem p{refusal.reason, refusal.outcome, {}, request_.header.id, {}};
+        bool const try_later = refusal.reason == state::refusal_reason::store_unavailable ||
+                               refusal.reason == state::refusal_reason::key_in_flight ||
+                               refusal.outcome == run_outcome::not_run;
+        if (try_later && refusal.reason != state::refusal_reason::key_reused)
+            p.retry_after = std::chrono::seconds{1};
+        co_return co_await refuse(call_, std::move(p));
+    }
+
+    void settle(state::ledger_state wanted)
+    {
+        state::ledger_record record{
+            attempt_, call_.context.self.id, fingerprint_, std::move(wanted)};
+        net::co_spawn(
+            call_.home.io(), settle_row(call_.context, call_.home, key_, std::move(record)),
+            net::detached);
+    }
+
+    caller_call& call_;
+    state::operation_request const& request_;
+    state::row_key key_;
+    state::attempt_token attempt_;
+    state::sha256_digest fingerprint_;
+    coordination::operation_run run_;
+};
+
+/// Runs an operation that needs no ledger: idempotent, or without a key.
+net::awaitable<bool>
+run_unkeyed(caller_call& call, state::operation_request const& request, bool idempotent)
+{
+    operation_caller caller(call.context, call.home, request, call.deadline);
+    auto outcome = co_await caller.call(idempotent);
+    if (auto* answered = std::get_if<coordination::backend_answered>(&outcome))
+    {
+        caller_reply out;
+        out.status = answered->answer.status;
+        out.content_type = answered->answer.content_type;
+        out.body = std::move(answered->answer.body);
+        out.headers = {{"X-Request-Id", request.header.id.str()}};
+        call.context.tables.counters.increment(state::event_counter::requests_completed);
+        co_return co_await call.writer.send(std::move(out));
+    }
+    bool const not_run = std::holds_alternative<coordination::backend_did_not_run>(outcome);
+    protocol::problem p{
+        not_run ? state::refusal_reason::backend_failed : state::refusal_reason::outcome_unknown,
+        not_run ? run_outcome::not_run : run_outcome::outcome_unknown,
+        {},
+        request.header.id,
+        {}};
+    if (not_run)
+        p.retry_after = std::chrono::seconds{1};
+    co_return co_await refuse(call, std::move(p));
+}
+
+} // namespace
+
+net::awaitable<bool> handle_operation(caller_call& call, protocol::operation_route route)
+{
+    auto const id = call.head.id.empty() ? state::request_id{protocol::random_hex(request_id_bytes)}
+                                         : call.head.id;
+    auto const* service = call.config->find(route.service);
+    auto const* plain = service ? std::get_if<state::plain_service>(&service->kind) : nullptr;
+    if (!plain || !plain->operations.contains(route.operation))
+    {
+        auto const reason = plain ? state::refusal_reason::unknown_operation
+                                  : state::refusal_reason::unknown_service;
+        protocol::problem p{reason, run_outcome::not_run, {}, id, {}};
+        co_return co_await refuse(call, std::move(p));
+    }
+    state::operation_request request;
+    request.header = {
+        id, call.organisation.id, route.service, call.head.level, call.head.time_allowed};
+    request.operation = route.operation;
+    request.key = call.head.key;
+    request.body = std::move(call.body);
+    request.content_type = call.head.content_type;
+
+    coordination::admission_request admission;
+    admission.organisation = call.organisation.id;
+    admission.weight = call.organisation.weight;
+    admission.level = call.head.level;
+    admission.cost = state::estimated_tokens(request.body);
+    admission.deadline = call.deadline;
+    auto entered = co_await call.context.tables.admission.enter(
+        call.home.io(), route.service, service->queue_limit, admission);
+    if (auto const* r = std::get_if<coordination::refused>(&entered))
+    {
+        protocol::problem p{r->reason, run_outcome::not_run, {}, id, r->retry_after};
+        co_return co_await refuse(call, std::move(p));
+    }
+
+    auto const active = call.context.activity.begin();
+    call.context.tables.counters.increment(state::event_counter::requests_accepted);
+    bool const idempotent = plain->idempotent.contains(route.operation);
+    if (idempotent || !request.key)
+        co_return co_await run_unkeyed(call, request, idempotent);
+    keyed_operation operation(call, request);
+    co_return co_await operation.run();
+}
+
+} // namespace auburnweir::transport
--- /dev/null
+++ b/src/transport/peer_service.cpp
@@ -0,0 +1,195 @@
+#include "transport/peer_service.hpp"
+
+#include "state/overloaded.hpp"
+#include "transport/chat_driver.hpp"
+#include "transport/clock.hpp"
+#include "transport/journal_replicator.hpp"
+#include "transport/log.hpp"
+
+namespace auburnweir::transport
+{
+
+namespace
+{
+constexpr std::size_t read_limit_tokens = 1024;
+constexpr state::duration recent_read = std::chrono::seconds{2};
+constexpr int probes_before_adoption = 3;
+} // namespace
+
+peer_service::peer_service(entry_context& context)
+    : context_(context)
+{
+}
+
+void peer_service::receive(
+    state::instance_id const& from, connection_number via, protocol::peer_message message)
+{
+    std::visit(
+        state::overloaded{
+            [&](protocol::journal_open& m) { on_open(from, via, m); },
+            [&](protocol::journal_append const& m) { on_append(from, via, m); },
+            [&](protocol::journal_read const& m) { on_read(via, m); },
+            [&](protocol::journal_handover const& m) { adopt_all(m.owner); },
+            [&](protocol::backend_leaving const& m)
+            {
+                auto& home = context_.workers.at(0);
+                net::post(
+                    home.io(), [this, &home, m]
+                    { context_.mark_leaving(m.backend, m.time_left, home.random()); });
+            },
+            [&](protocol::grouped_write& m) { on_grouped_write(via, m); },
+            [&](protocol::peer_ping const& m)
+            { context_.peers.reply(via, protocol::peer_pong{m.number}); },
+            [](auto const&) {}},
+        message);
+}
+
+void peer_service::on_open(
+    state::instance_id const& from, connection_number via, protocol::journal_open& message)
+{
+    auto const& header = message.request.header;
+    auto status = protocol::ack_status::accepted;
+    auto const known = context_.tables.journals.find(header.organisation, header.id);
+    if (known && known->owner() != from)
+        status = protocol::ack_status::superseded;
+    else if (!known)
+    {
+        auto const opened = context_.tables.journals.open(
+            std::move(message.request), from, message.lineage.front().tag);
+        if (opened)
+            opened->take_lineage(message.lineage);
+    }
+    if (status == protocol::ack_status::accepted)
+    {
+        state::ranked_lock lock(mutex_);
+        owners_.try_emplace(from, false);
+    }
+    context_.peers.reply(via, protocol::journal_ack{message.number, status, false});
+}
+
+void peer_service::on_append(
+    state::instance_id const& from, connection_number via, protocol::journal_append const& message)
+{
+    protocol::journal_ack ack{message.number, protocol::ack_status::accepted, false};
+    auto const journal = context_.tables.journals.find(message.key.organisation, message.key.id);
+    if (!journal)
+        ack.status = protocol::ack_status::unknown;
+    else if (journal->owner() != from)
+        ack.status = protocol::ack_status::superseded;
+    else if (auto const merged = journal->merge(message.part);
+             merged == state::append_result::gap || merged == state::append_result::diverged)
+        ack.status = protocol::ack_status::unknown;
+    else
+    {
+        ack.read_recently = now() - journal->last_read() < recent_read;
+        if (message.part.finish)
+            context_.tables.journals.retire(journal, now(), context_.settings.journal_kept);
+    }
+    context_.peers.reply(via, ack);
+}
+
+void peer_service::on_read(connection_number via, protocol::journal_read const& message)
+{
+    protocol::journal_reply reply{std::nullopt, {}, message.number};
+    auto const journal = context_.tables.journals.find(message.key.organisation, message.key.id);
+    if (journal)
+    {
+        journal->touch(now());
+        reply.part = journal->read_after(message.after, read_limit_tokens);
+        reply.lineage = journal->lineage();
+    }
+    context_.peers.reply(via, std::move(reply));
+}
+
+void peer_service::on_grouped_write(connection_number via, protocol::grouped_write& message)
+{
+    context_.ledger.write_here(
+        std::move(message.write),
+        [this, via, number = message.number](state::write_result result) {
+            context_.peers.reply(via, protocol::grouped_result{std::move(result), number});
+        });
+}
+
+void peer_service::watch_owners()
+{
+    std::vector<state::instance_id> to_probe;
+    {
+        state::ranked_lock lock(mutex_);
+        for (auto& [owner, probed] : owners_)
+        {
+            if (probed)
+                continue;
+            probed = true;
+            to_probe.push_back(owner);
+        }
+    }
+    for (auto const& owner : to_probe)
+        net::co_spawn(context_.workers.at(0).io(), probe(owner), net::detached);
+}
+
+net::awaitable<bool> peer_service::answers(state::instance owner)
+{
+    auto const make = [](protocol::correlation number)
+    { return protocol::peer_message{protocol::peer_ping{number}}; };
+    auto& io = context_.workers.at(0).io();
+    auto const limit = context_.settings.adopt_delay / probes_before_adoption;
+    auto const answer = co_await context_.peers.ask(io, owner, make, limit);
+    co_return answer.has_value();
+}
+
+net::awaitable<void> peer_service::probe(state::instance_id owner)
+{
+    bool alive = false;
+    bool const needed = !context_.tables.journals.unfinished_of(owner).empty();
+    auto const pause = context_.settings.adopt_delay / probes_before_adoption;
+    for (int i = 0; needed && !alive && i < probes_before_adoption; ++i)
+    {
+        auto const listed = context_.tables.instances.find(owner);
+        alive = listed && co_await answers(*listed);
+        if (!alive)
+            co_await sleep_for(context_.workers.at(0).io(), pause);
+    }
+    if (needed && !alive)
+        adopt_all(owner);
+    state::ranked_lock lock(mutex_);
+    if (context_.tables.journals.unfinished_of(owner).empty())
+        owners_.erase(owner);
+    else
+        owners_[owner] = false;
+}
+
+void peer_service::adopt_all(state::instance_id const& owner)
+{
+    for (auto const& journal : context_.tables.journals.unfinished_of(owner))
+        adopt(journal);
+}
+
+void peer_service::adopt(state::journal_ptr const& journal)
+{
+    context_.tables.counters.increment(state::event_counter::journals_adopted);
+    log(log_event::journal_adopted,
+        {{"request", journal->request().header.id.str()}, {"owner", journal->owner().str()}});
+    journal->adopt(context_.self.id, new_generation());
+    auto& home = context_.workers.next();
+    net::post(
+        home.io(),
+        [this, &home, journal]
+        {
+            std::make_shared<journal_replicator>(context_, home, journal)->start();
+            auto const driver =
+                std::make_shared<chat_driver>(context_, home, journal, admission_slot{});
+            driver->keep_without_reader();
+            driver->start();
+        });
+}
+
+void peer_service::hand_over()
+{
+    if (context_.tables.journals.unfinished_of(context_.self.id).empty())
+        return;
+    for (auto const& peer : context_.tables.instances.live())
+        if (peer.id != context_.self.id)
+            context_.peers.send(peer, protocol::journal_handover{context_.self.id});
+}
+
+} // namespace auburnweir::transport
--- /dev/null
+++ b/src/transport/reply_writer.cpp
@@ -0,0 +1,96 @@
+#include "transport/reply_writer.hpp"
+
+namespace auburnweir::transport
+{
+
+namespace
+{
+
+auto into(error_code& fault)
+{
+    return net::redirect_error(net::use_awaitable, fault);
+}
+
+template <class Body>
+void set_head(http::response<Body>& response, caller_reply const& reply, bool keep_alive)
+{
+    response.result(static_cast<unsigned>(reply.status));
+    response.version(11);
+    response.keep_alive(keep_alive);
+    if (!reply.content_type.empty())
+        response.set(http::field::content_type, reply.content_type);
+    for (auto const& [name, value] : reply.headers)
+        response.set(name, value);
+}
+
+} // namespace
+
+caller_reply reply_for(protocol::problem const& p)
+{
+    caller_reply reply;
+    reply.status = protocol::http_status(p.reason);
+    reply.content_type = protocol::problem_content_type;
+    reply.body = protocol::encode(p);
+    if (!p.request.empty())
+        reply.headers.emplace_back("X-Request-Id", p.request.str());
+    if (p.retry_after)
+        reply.headers.emplace_back("Retry-After", protocol::retry_after_seconds(*p.retry_after));
+    return reply;
+}
+
+reply_writer::reply_writer(beast::tcp_stream& stream, state::duration limit)
+    : stream_(stream)
+    , limit_(limit)
+{
+}
+
+net::awaitable<bool> reply_writer::send(caller_reply reply)
+{
+    http::response<http::string_body> response;
+    set_head(response, reply, keep_alive_);
+    response.body() = std::move(reply.body);
+    response.prepare_payload();
+    stream_.expires_after(limit_);
+    error_code fault;
+    co_await http::async_write(stream_, response, into(fault));
+    co_return !fault;
+}
+
+net::awaitable<bool> reply_writer::begin(caller_reply head)
+{
+    http::response<http::empty_body> response;
+    set_head(response, head, keep_alive_);
+    response.chunked(true);
+    http::response_serializer<http::empty_body> serializer(response);
+    stream_.expires_after(limit_);
+    error_code fault;
+    co_await http::async_write_header(stream_, serializer, into(fault));
+    co_return !fault;
+}
+
+net::awaitable<bool> reply_writer::send_part(std::string part)
+{
+    stream_.expires_after(limit_);
+    error_code fault;
+    co_await net::async_write(stream_, http::make_chunk(net::buffer(part)), into(fault));
+    co_return !fault;
+}
+
+net::awaitable<bool> reply_writer::end()
+{
+    stream_.expires_after(limit_);
+    error_code fault;
+    co_await net::async_write(stream_, http::make_chunk_last(), into(fault));
+    co_return !fault;
+}
+
+bool reply_writer::caller_has_left()
+{
+    char byte = 0;
+    auto const got = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got == 0)
+        return true;
+    return got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+}
+
+} // namespace auburnweir::transport
--- /dev/null
+++ b/src/transport/review_runner.hpp
@@ -0,0 +1,44 @@
+#ifndef AUBURNWEIR_TRANSPORT_REVIEW_RUNNER_HPP
+#define AUBURNWEIR_TRANSPORT_REVIEW_RUNNER_HPP
+
+#include "coordination/review_claims.hpp"
+#include "transport/entry_context.hpp"
+
+#include <atomic>
+#include <string>
+
+namespace auburnweir::transport
+{
+
+/// Claims stored deferrable requests under a lease and runs them.
+///
+/// Any instance may run any of them; one that dies leaves its claim to lapse. Runs on the home
+/// worker.
+class review_runner
+{
+public:
+    explicit review_runner(entry_context& context);
+
+    /// Looks for requests to run. Call it regularly.
+    void scan();
+
+private:
+    net::awaitable<void> scan_rows();
+    net::awaitable<void> consider(state::table_row row);
+    net::awaitable<void> run(state::review_record claim, state::row_version version);
+    net::awaitable<std::optional<std::string>>
+    answer(state::review_record& claim, state::row_version& version);
+    net::awaitable<bool> renew(state::review_record& claim, state::row_version& version);
+
+    entry_context& context_;
+    worker& home_;
+    coordination::review_settings settings_;
+    std::string cursor_; ///< last key seen; scans go round
+    bool scanning_ = false;
+    int running_ = 0;
+    int skipped_scans_ = 0;
+};
+
+} // namespace auburnweir::transport
+
+#endif
--- /dev/null
+++ b/tools/standins/http_standin.hpp
@@ -0,0 +1,65 @@
+#ifndef AUBURNWEIR_STANDINS_HTTP_STANDIN_HPP
+#define AUBURNWEIR_STANDINS_HTTP_STANDIN_HPP
+
+#include "protocol/json.hpp"
+#include "transport/asio.hpp"
+#include "transport/async_signal.hpp"
+#include "transport/reply_writer.hpp"
+
+#include <functional>
+#include <string>
+
+/// Small processes that take the place of back ends and of the platform in tests.
+namespace auburnweir::standins
+{
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = boost::asio::ip::tcp;
+using nlohmann::json;
+
+/// One request to a stand-in.
+struct standin_request
+{
+    std::string method;
+    std::string target;
+    http::fields headers;
+    std::string body;
+
+    std::string header(char const* name) const
+    {
+        auto const value = headers[name];
+        return std::string{value.data(), value.size()};
+    }
+};
+
+/// What a handler answers with: the writer, and a way to break the connection off.
+struct standin_connection
+{
+    transport::reply_writer& writer;
+    beast::tcp_stream& stream;
+
+    void cut()
+    {
+        boost::system::error_code ignored;
+        stream.socket().set_option(net::socket_base::linger(true, 0), ignored);
+        stream.socket().close(ignored);
+    }
+};
+
+using standin_handler = std::function<net::awaitable<void>(standin_request, standin_connection&)>;
+
+/// Runs an HTTP/1.1 server on loopback until SIGTERM; prints `listening port=N` when ready.
+/// @param port  0 takes a free one
+int run_standin(net::io_context& io, std::uint16_t port, standin_handler handler);
+
+/// Answers with JSON.
+net::awaitable<bool> send_json(standin_connection& to, int status, json const& body);
+
+/// Answers without a body.
+net::awaitable<bool> send_status(standin_connection& to, int status);
+
+} // namespace auburnweir::standins
+
+#endif
