--- a/src/programs/entry.cpp
+++ b/src/programs/entry.cpp
@@ -26,6 +26,7 @@
     int check = 0;
     int version = 0;
     int reference = 0;
+    int events = 0;
     long long seed = -1;
 };
 
@@ -95,6 +96,8 @@
          "check the settings and the service text, then end", nullptr},
         {"reference", 0, POPT_ARG_NONE, &given.reference, 0,
          "print all settings as Markdown, then end", nullptr},
+        {"events", 0, POPT_ARG_NONE, &given.events, 0,
+         "print the catalogue of log events as Markdown, then end", nullptr},
         {"seed", 0, POPT_ARG_LONGLONG, &given.seed, 0, "seed of random choices", "NUMBER"},
         {"version", 'v', POPT_ARG_NONE, &given.version, 0, "print the version, then end", nullptr},
         POPT_AUTOHELP POPT_TABLEEND};
@@ -115,6 +118,11 @@
         std::cout << protocol::entry_settings_reference() << protocol::service_text_reference();
         return exit_ok;
     }
+    if (given.events)
+    {
+        std::cout << transport::log_catalogue_markdown();
+        return exit_ok;
+    }
     if (!given.settings)
     {
         std::cerr << "--settings FILE is missing\n";
--- a/src/protocol/entry_settings.cpp
+++ b/src/protocol/entry_settings.cpp
@@ -164,6 +164,9 @@
         milliseconds_option(
             "adopt_delay_ms", "silence of an owner after which its replica finishes its requests",
             "1000", 50, 60000, &settings::adopt_delay),
+        milliseconds_option(
+            "abandon_after_ms", "time without a reader after which an answer is cancelled", "10000",
+            100, 3600000, &settings::abandon_after),
         milliseconds_option(
             "readiness_delay_ms", "time between readiness off and no more connections at a stop",
             "500", 0, 60000, &settings::readiness_delay),
--- a/src/protocol/entry_settings.hpp
+++ b/src/protocol/entry_settings.hpp
@@ -43,6 +43,7 @@
     state::duration replica_wait{0};
     state::duration journal_kept{0};
     state::duration adopt_delay{0};
+    state::duration abandon_after{0};
     state::duration readiness_delay{0};
     state::duration drain_limit{0};
     state::duration group_window{0};
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -55,6 +55,35 @@
     return refusal_reason::malformed_request;
 }
 
+/// Interrupts a stream's operation after a time and leaves the stream open, so that the caller
+/// can still be told. The stream's own timeout would close it.
+class read_limit
+{
+public:
+    read_limit(beast::tcp_stream& stream, state::duration length)
+        : timer_(stream.get_executor())
+        , passed_(std::make_shared<bool>(false))
+    {
+        stream.expires_never();
+        timer_.expires_after(length);
+        timer_.async_wait(
+            [&stream, passed = passed_](error_code fault)
+            {
+                bool const owner_gone = passed.use_count() == 1;
+                if (fault || owner_gone)
+                    return;
+                *passed = true;
+                stream.cancel();
+            });
+    }
+
+    bool passed() const { return *passed_; }
+
+private:
+    net::steady_timer timer_;
+    std::shared_ptr<bool> passed_;
+};
+
 /// The other side closed or reset the connection: there is nobody to answer.
 bool is_gone(error_code const& fault)
 {
@@ -99,8 +128,7 @@
 net::awaitable<bool> caller_connection::refuse_unread(error_code fault)
 {
     writer_.keep_alive(false);
-    bool const idle = buffer_.size() == 0 && fault == beast::error::timeout;
-    if (is_gone(fault) || idle)
+    if (is_gone(fault))
         co_return false;
     protocol::problem p{reason_of(fault), run_outcome::not_run, fault.message(), {}, {}};
     co_return co_await send_problem(std::move(p));
@@ -112,8 +140,13 @@
     parser.header_limit(static_cast<std::uint32_t>(context_.settings.header_limit));
     parser.body_limit(static_cast<std::uint64_t>(context_.settings.body_limit));
     error_code fault;
-    stream_.expires_after(context_.settings.header_timeout);
-    co_await http::async_read_header(stream_, buffer_, parser, into(fault));
+    {
+        read_limit const limit(stream_, context_.settings.header_timeout);
+        co_await http::async_read_header(stream_, buffer_, parser, into(fault));
+        bool const idle = buffer_.size() == 0 && !parser.got_some();
+        if (limit.passed())
+            fault = idle ? error_code{net::error::operation_aborted} : beast::error::timeout;
+    }
     if (fault)
         co_return co_await refuse_unread(fault);
     if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
@@ -121,8 +154,12 @@
         http::response<http::empty_body> go_on{http::status::continue_, 11};
         co_await http::async_write(stream_, go_on, into(fault));
     }
-    stream_.expires_after(context_.settings.body_timeout);
-    co_await http::async_read(stream_, buffer_, parser, into(fault));
+    {
+        read_limit const limit(stream_, context_.settings.body_timeout);
+        co_await http::async_read(stream_, buffer_, parser, into(fault));
+        if (limit.passed())
+            fault = beast::error::timeout;
+    }
     if (fault)
         co_return co_await refuse_unread(fault);
     auto incoming = parser.release();
@@ -153,6 +190,8 @@
         text, "requests_in_progress", static_cast<double>(context_.activity.value()));
     protocol::append_gauge(
         text, "journals_held", static_cast<double>(context_.tables.journals.size()));
+    protocol::append_gauge(
+        text, "instances_known", static_cast<double>(context_.tables.instances.live().size()));
     protocol::append_gauge(
         text, "configuration_version",
         static_cast<double>(context_.tables.configuration.version().count()));
--- a/src/transport/chat_driver.cpp
+++ b/src/transport/chat_driver.cpp
@@ -15,7 +15,6 @@
 
 constexpr std::size_t attempt_token_bytes = 8;
 constexpr std::uint64_t most_undelivered_tokens = 512;
-constexpr state::duration abandon_after = std::chrono::seconds{10};
 constexpr state::duration replan_period = std::chrono::milliseconds{250};
 constexpr state::duration no_backend_pause = std::chrono::milliseconds{100};
 constexpr state::duration rescue_pause = std::chrono::milliseconds{500};
@@ -61,7 +60,7 @@
 
 bool chat_driver::abandoned() const
 {
-    return needs_reader_ && now() - journal_->last_read() > abandon_after;
+    return needs_reader_ && now() - journal_->last_read() > context_.settings.abandon_after;
 }
 
 bool chat_driver::past_deadline() const
--- /dev/null
+++ b/tests/integration/answers_test.cpp
@@ -0,0 +1,294 @@
+#include "support/deployment.hpp"
+
+#include <csignal>
+#include <gtest/gtest.h>
+#include <thread>
+
+/// Whole answers: streams that survive the loss of engines and of entry instances.
+
+namespace auburnweir::tests
+{
+namespace
+{
+
+constexpr int answer_tokens = 150;
+
+class answers_test : public testing::Test
+{
+protected:
+    void deploy(deployment_plan plan = {}) { system.emplace(std::move(plan)); }
+
+    streamed_answer stream(int entry, std::string const& content, std::string const& id)
+    {
+        return {
+            system->entry_port(entry), "POST", "/v1/chat/completions",
+            authorised({{"X-Request-Id", id}}), chat_body(content, answer_tokens, true)};
+    }
+
+    streamed_answer resume(int entry, std::string const& id, std::string const& last_event)
+    {
+        header_list headers = authorised();
+        if (!last_event.empty())
+            headers.emplace_back("Last-Event-ID", last_event);
+        return {system->entry_port(entry), "GET", "/v1/requests/" + id, headers, ""};
+    }
+
+    /// Index of an engine that runs a stream; -1 when none does.
+    int busy_engine()
+    {
+        for (int i = 0; i < system->engines(); ++i)
+            if (system->engine(i).pid() > 0 && deployment::figure(system->engine(i), "running") > 0)
+                return i;
+        return -1;
+    }
+
+    static std::string expected(std::string const& content)
+    {
+        return expected_answer(content, answer_tokens);
+    }
+
+    std::optional<deployment> system;
+};
+
+TEST_F(answers_test, stream_without_faults_is_whole)
+{
+    deploy();
+    auto answer = stream(0, "hello", "r1");
+    answer.read_to_end();
+    EXPECT_EQ(answer.status(), 200);
+    EXPECT_EQ(answer.text(), expected("hello"));
+    EXPECT_EQ(answer.finish_reason(), "length");
+}
+
+TEST_F(answers_test, answer_without_streaming_is_whole)
+{
+    deploy();
+    auto const reply = call(
+        system->entry_port(0), "POST", "/v1/chat/completions", authorised(),
+        chat_body("hello", answer_tokens, false));
+    EXPECT_EQ(reply.status, 200);
+    EXPECT_EQ(reply.parsed()["choices"][0]["message"]["content"], expected("hello"));
+    EXPECT_EQ(reply.parsed()["usage"]["completion_tokens"], answer_tokens);
+}
+
+TEST_F(answers_test, many_streams_at_once_are_not_mixed)
+{
+    deploy();
+    std::vector<std::thread> callers;
+    std::atomic<int> whole{0};
+    for (int i = 0; i < 24; ++i)
+        callers.emplace_back(
+            [&, i]
+            {
+                auto const content = "caller " + std::to_string(i);
+                auto answer = stream(i % 3, content, "r" + std::to_string(i));
+                answer.read_to_end();
+                whole += answer.text() == expected(content) ? 1 : 0;
+            });
+    for (auto& c : callers)
+        c.join();
+    EXPECT_EQ(whole, 24);
+    EXPECT_EQ(system->engine_total("refused_continuations"), 0);
+}
+
+TEST_F(answers_test, engine_killed_in_the_middle_leaves_the_answer_whole)
+{
+    deploy();
+    auto answer = stream(0, "hello", "r1");
+    answer.read_tokens(20);
+    system->engine(busy_engine()).kill();
+
+    answer.read_to_end();
+
+    EXPECT_EQ(answer.text(), expected("hello"));
+    EXPECT_GE(system->counter(0, "auburnweir_streams_replayed_total"), 1);
+    EXPECT_GT(system->counter(0, "auburnweir_tokens_recomputed_total"), 0);
+}
+
+TEST_F(answers_test, engine_frozen_in_the_middle_leaves_the_answer_whole)
+{
+    deployment_plan plan;
+    plan.entry_settings["stall_timeout_ms"] = "500";
+    deploy(plan);
+    auto answer = stream(0, "hello", "r1");
+    answer.read_tokens(20);
+    auto const frozen = busy_engine();
+    system->engine(frozen).signal(SIGSTOP);
+
+    answer.read_to_end();
+
+    EXPECT_EQ(answer.text(), expected("hello"));
+    system->engine(frozen).signal(SIGCONT);
+    EXPECT_GE(system->counter(0, "auburnweir_retries_total{reason=\"stream_stalled\"}"), 1);
+}
+
+TEST_F(answers_test, engine_connection_half_open_leaves_the_answer_whole)
+{
+    deployment_plan plan;
+    plan.proxied_engines = true;
+    plan.entry_settings["stall_timeout_ms"] = "500";
+    deploy(plan);
+    auto answer = stream(0, "hello", "r1");
+    answer.read_tokens(20);
+    auto const frozen = busy_engine();
+    system->engine_network(frozen, {{"freeze", true}});
+
+    answer.read_to_end();
+
+    EXPECT_EQ(answer.text(), expected("hello"));
+}
+
+TEST_F(answers_test, all_engines_of_a_domain_lost_at_once_leave_all_answers_whole)
+{
+    deployment_plan plan;
+    plan.engines = 6;
+    plan.concurrency = "32";
+    deploy(plan);
+    std::vector<streamed_answer> answers;
+    answers.reserve(12);
+    for (int i = 0; i < 12; ++i)
+    {
+        answers.push_back(stream(i % 3, "caller " + std::to_string(i), "r" + std::to_string(i)));
+        answers.back().read_tokens(5);
+    }
+    system->engine(0).kill();
+    system->engine(3).kill();
+
+    for (int i = 0; i < 12; ++i)
+    {
+        answers[i].read_to_end();
+        EXPECT_EQ(answers[i].text(), expected("caller " + std::to_string(i)));
+    }
+}
+
+TEST_F(answers_test, entry_killed_in_the_middle_is_resumed_at_another)
+{
+    deploy();
+    auto answer = stream(0, "hello", "r1");
+    answer.read_tokens(20);
+    system->entry(0).kill();
+    answer.read_to_end();
+    ASSERT_FALSE(answer.finished());
+
+    auto rest = resume(2, "r1", answer.last_event_id());
+    rest.read_to_end();
+
+    EXPECT_EQ(rest.status(), 200);
+    EXPECT_EQ(answer.text() + rest.text(), expected("hello"));
+    EXPECT_TRUE(rest.finished());
+}
+
+TEST_F(answers_test, entry_killed_without_a_reader_still_finishes_the_answer)
+{
+    deploy();
+    auto answer = stream(0, "hello", "r1");
+    answer.read_tokens(20);
+    system->entry(0).kill();
+
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            auto const reply = call(system->entry_port(1), "GET", "/v1/requests/r1", authorised());
+            return reply.status == 200 &&
+                   reply.parsed()["choices"][0]["message"]["content"] == expected("hello");
+        }));
+    EXPECT_EQ(
+        system->counter(1, "auburnweir_journals_adopted_total") +
+            system->counter(2, "auburnweir_journals_adopted_total"),
+        1);
+}
+
+TEST_F(answers_test, frozen_entry_that_was_taken_over_does_not_contradict_the_answer)
+{
+    deploy();
+    auto answer = stream(0, "hello", "r1");
+    answer.read_tokens(20);
+    auto const seen = answer.text();
+    system->entry(0).signal(SIGSTOP);
+    auto rest = resume(1, "r1", answer.last_event_id());
+    rest.read_to_end();
+    system->entry(0).signal(SIGCONT);
+
+    EXPECT_EQ(seen + rest.text(), expected("hello"));
+    answer.read_to_end();
+    EXPECT_TRUE(expected("hello").rfind(answer.text(), 0) == 0);
+}
+
+TEST_F(answers_test, fetch_at_any_entry_gives_the_same_answer)
+{
+    deploy();
+    stream(0, "hello", "r1").read_to_end();
+    for (int i = 0; i < 3; ++i)
+    {
+        auto again = resume(i, "r1", "");
+        again.read_to_end();
+        EXPECT_EQ(again.text(), expected("hello")) << "entry " << i;
+    }
+}
+
+TEST_F(answers_test, unknown_generation_is_refused)
+{
+    deploy();
+    stream(0, "hello", "r1").read_to_end();
+    auto const reply = call(
+        system->entry_port(0), "GET", "/v1/requests/r1",
+        authorised({{"Last-Event-ID", "ffffffff.9"}}));
+    EXPECT_EQ(reply.status, 409);
+    EXPECT_EQ(reply.reason(), "resume_point_unknown");
+}
+
+TEST_F(answers_test, request_id_in_use_is_refused)
+{
+    deploy();
+    stream(0, "hello", "r1").read_to_end();
+    auto const reply = call(
+        system->entry_port(0), "POST", "/v1/chat/completions", authorised({{"X-Request-Id", "r1"}}),
+        chat_body("other", 5, false));
+    EXPECT_EQ(reply.reason(), "request_id_in_use");
+}
+
+TEST_F(answers_test, caller_that_leaves_for_good_cancels_the_engine)
+{
+    deployment_plan plan;
+    plan.entry_settings["abandon_after_ms"] = "300";
+    plan.token_us = 20000;
+    deploy(plan);
+    auto answer = stream(0, "hello", "r1");
+    answer.read_tokens(5);
+    answer.leave();
+
+    EXPECT_TRUE(eventually([&] { return system->engine_total("cancelled") == 1; }));
+    EXPECT_LT(system->engine_total("tokens"), answer_tokens);
+}
+
+TEST_F(answers_test, slow_caller_holds_the_engine_back)
+{
+    deployment_plan plan;
+    plan.token_us = 0;
+    deploy(plan);
+    constexpr int many = 200000;
+    streamed_answer answer(
+        system->entry_port(0), "POST", "/v1/chat/completions", authorised({{"X-Request-Id", "r1"}}),
+        chat_body("hello", many, true));
+    answer.read_tokens(1);
+    std::this_thread::sleep_for(std::chrono::seconds{1});
+
+    EXPECT_LT(system->engine_total("tokens"), many);
+    EXPECT_EQ(system->engine_total("finished"), 0);
+}
+
+TEST_F(answers_test, deadline_that_passes_ends_the_answer_with_its_reason)
+{
+    deployment_plan plan;
+    plan.token_us = 50000;
+    deploy(plan);
+    auto const reply = call(
+        system->entry_port(0), "POST", "/v1/chat/completions",
+        authorised({{"X-Deadline-Ms", "300"}}), chat_body("hello", answer_tokens, false));
+    EXPECT_EQ(reply.status, 504);
+    EXPECT_EQ(reply.reason(), "deadline_exceeded");
+    EXPECT_TRUE(eventually([&] { return system->engine_total("running") == 0; }));
+}
+
+} // namespace
+} // namespace auburnweir::tests
--- /dev/null
+++ b/tests/integration/bad_input_test.cpp
@@ -0,0 +1,167 @@
+#include "support/deployment.hpp"
+
+#include <fstream>
+#include <gtest/gtest.h>
+#include <random>
+
+/// Bad input gets a clear error with a reason, changes nothing, and the process stays up.
+
+namespace auburnweir::tests
+{
+namespace
+{
+
+class bad_input_test : public testing::Test
+{
+protected:
+    static void SetUpTestSuite()
+    {
+        deployment_plan plan;
+        plan.entries = 1;
+        plan.engines = 1;
+        plan.services = 1;
+        plan.entry_settings = {
+            {"header_limit", "4096"},
+            {"body_limit", "65536"},
+            {"header_timeout_ms", "500"},
+            {"body_timeout_ms", "500"}};
+        system = std::make_unique<deployment>(plan);
+    }
+
+    static void TearDownTestSuite() { system.reset(); }
+
+    ~bad_input_test() override { EXPECT_EQ(call(port(), "GET", "/health").status, 200); }
+
+    static std::uint16_t port() { return system->entry_port(0); }
+
+    static seen_reply chat(std::string body, header_list headers = authorised())
+    {
+        return call(port(), "POST", "/v1/chat/completions", std::move(headers), std::move(body));
+    }
+
+    static bool raw_answer_has(std::string const& bytes, std::string const& part)
+    {
+        return send_raw(port(), bytes).find(part) != std::string::npos;
+    }
+
+    static std::unique_ptr<deployment> system;
+};
+
+std::unique_ptr<deployment> bad_input_test::system;
+
+TEST_F(bad_input_test, malformed_http_is_refused)
+{
+    EXPECT_TRUE(raw_answer_has("NONSENSE\r\n\r\n", "malformed_request"));
+}
+
+TEST_F(bad_input_test, oversized_header_is_refused)
+{
+    auto const bytes = "GET /health HTTP/1.1\r\nX: " + std::string(8000, 'x') + "\r\n\r\n";
+    EXPECT_TRUE(raw_answer_has(bytes, "header_too_large"));
+}
+
+TEST_F(bad_input_test, oversized_body_is_refused)
+{
+    auto const reply = chat(std::string(100000, 'x'));
+    EXPECT_EQ(reply.status, 413);
+    EXPECT_EQ(reply.reason(), "body_too_large");
+}
+
+TEST_F(bad_input_test, slow_sender_is_refused)
+{
+    EXPECT_TRUE(raw_answer_has("GET /health HTT", "sender_too_slow"));
+    EXPECT_TRUE(raw_answer_has(
+        "POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 50\r\n\r\n{", "sender_too_slow"));
+}
+
+TEST_F(bad_input_test, broken_json_is_refused)
+{
+    for (auto const* body :
+         {"{", "[]", "{\"model\":1}", "{\"model\":\"assistant\"}",
+          "{\"model\":\"assistant\",\"messages\":[{\"role\":\"u\"}]}"})
+    {
+        auto const reply = chat(body);
+        EXPECT_EQ(reply.status, 400) << body;
+        EXPECT_EQ(reply.reason(), "malformed_request") << body;
+        EXPECT_EQ(reply.run(), "not_run") << body;
+    }
+}
+
+TEST_F(bad_input_test, deeply_nested_json_is_refused)
+{
+    EXPECT_EQ(chat(std::string(60000, '[')).status, 400);
+}
+
+TEST_F(bad_input_test, wrong_token_is_refused)
+{
+    EXPECT_EQ(chat(chat_body("x", 1, false), {}).status, 401);
+    auto const reply = chat(chat_body("x", 1, false), {{"Authorization", "Bearer guess"}});
+    EXPECT_EQ(reply.reason(), "unauthorised");
+}
+
+TEST_F(bad_input_test, unknown_names_are_refused)
+{
+    EXPECT_EQ(
+        chat(R"({"model":"gone","messages":[{"role":"u","content":"c"}]})").reason(),
+        "unknown_service");
+    auto const post = [](std::string const& target)
+    { return call(port(), "POST", target, authorised(), "x").reason(); };
+    EXPECT_EQ(post("/v1/services/gone/book"), "unknown_service");
+    EXPECT_EQ(post("/v1/services/assistant/book"), "unknown_service");
+    EXPECT_EQ(post("/v1/services/booking/steal"), "unknown_operation");
+    EXPECT_EQ(post("/nowhere"), "unknown_operation");
+    EXPECT_EQ(call(port(), "GET", "/v1/requests/none", authorised()).reason(), "unknown_request");
+}
+
+TEST_F(bad_input_test, faulty_headers_are_refused)
+{
+    for (auto const& [name, value] :
+         header_list{{"X-Deadline-Ms", "soon"}, {"X-Priority", "now"}, {"X-Request-Id", "a b"}})
+        EXPECT_EQ(chat(chat_body("x", 1, false), authorised({{name, value}})).status, 400) << name;
+}
+
+TEST_F(bad_input_test, random_bytes_leave_the_process_up)
+{
+    std::mt19937 random(11);
+    for (int i = 0; i < 40; ++i)
+    {
+        std::string bytes = i % 2 ? "POST /v1/chat/completions HTTP/1.1\r\n" : "";
+        for (int n = 0; n < 200; ++n)
+            bytes += static_cast<char>(random());
+        send_raw(port(), bytes + "\r\n\r\n", 100);
+    }
+    EXPECT_GT(system->counter(0, "auburnweir_refusals_total{reason=\"malformed_request\"}"), 0);
+}
+
+TEST_F(bad_input_test, stranger_on_the_peer_port_is_cut_off)
+{
+    auto const peer = system->entry(0).port("peers");
+    auto const answer = send_raw(
+        peer, "GET /peer HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+              "Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n"
+              "\x82\x85\x01\x02\x03\x04\x05\x06\x07\x08\x09");
+    EXPECT_NE(answer.find("101"), std::string::npos);
+    EXPECT_NE(answer.find("\x88"), std::string::npos);
+}
+
+TEST(program_test, check_config_reports_all_findings_of_both_texts)
+{
+    auto const path = testing::TempDir() + "/faulty.ini";
+    std::ofstream(path) << "[entry]\nid = e\nworkers = many\nwings = 2\n";
+    auto const run = run_program({program("auburnweir-entry"), "--check-config", "-s", path});
+    EXPECT_EQ(run.exit_code, 1);
+    EXPECT_NE(run.output.find(":3: entry.workers"), std::string::npos) << run.output;
+    EXPECT_NE(run.output.find(":4: entry.wings: unknown key"), std::string::npos) << run.output;
+    EXPECT_NE(run.output.find("entry.peer_key: key is missing"), std::string::npos);
+}
+
+TEST(program_test, help_and_version_answer)
+{
+    EXPECT_EQ(run_program({program("auburnweir-entry"), "--help"}).exit_code, 0);
+    auto const run = run_program({program("auburnweir-entry"), "--version"});
+    EXPECT_EQ(run.output.rfind("auburnweir-entry ", 0), 0U);
+    EXPECT_EQ(run_program({program("auburnweir-entry"), "--nonsense"}).exit_code, 2);
+}
+
+} // namespace
+} // namespace auburnweir::tests
--- /dev/null
+++ b/tests/integration/reclaim_test.cpp
@@ -0,0 +1,278 @@
+#include "support/deployment.hpp"
+
+#include <csignal>
+#include <gtest/gtest.h>
+#include <thread>
+
+/// Reclaims, planned stops and deferrable requests.
+
+namespace auburnweir::tests
+{
+namespace
+{
+
+class reclaim_test : public testing::Test
+{
+protected:
+    void deploy(deployment_plan plan = {}) { system.emplace(std::move(plan)); }
+
+    streamed_answer stream(int entry, std::string const& content, std::string const& id, int tokens)
+    {
+        return {
+            system->entry_port(entry), "POST", "/v1/chat/completions",
+            authorised({{"X-Request-Id", id}}), chat_body(content, tokens, true)};
+    }
+
+    seen_reply defer(int entry, std::string const& id, std::string const& content, int tokens)
+    {
+        auto headers = authorised({{"X-Request-Id", id}});
+        headers.emplace_back("X-Priority", "deferrable");
+        return call(
+            system->entry_port(entry), "POST", "/v1/chat/completions", headers,
+            chat_body(content, tokens, false));
+    }
+
+    bool answered(int entry, std::string const& id, std::string const& content, int tokens)
+    {
+        auto const reply =
+            call(system->entry_port(entry), "GET", "/v1/requests/" + id, authorised());
+        return reply.status == 200 && reply.parsed()["choices"][0]["message"]["content"] ==
+                                          expected_answer(content, tokens);
+    }
+
+    std::int64_t started(int engine)
+    {
+        return deployment::figure(system->engine(engine), "started");
+    }
+
+    int busy_engine()
+    {
+        for (int i = 0; i < system->engines(); ++i)
+            if (deployment::figure(system->engine(i), "running") > 0)
+                return i;
+        return -1;
+    }
+
+    std::optional<deployment> system;
+};
+
+TEST_F(reclaim_test, announced_engine_gets_no_new_work_after_two_seconds)
+{
+    deploy();
+    system->announce("engine-1", 60000);
+    std::this_thread::sleep_for(std::chrono::seconds{2});
+    auto const before = started(0);
+
+    for (int i = 0; i < 18; ++i)
+        stream(i % 3, "hello", "r" + std::to_string(i), 3).read_to_end();
+
+    EXPECT_EQ(started(0), before);
+}
+
+TEST_F(reclaim_test, engine_that_says_it_leaves_is_left_at_every_entry)
+{
+    deploy();
+    deployment::control(system->engine(0), {{"leaving", true}});
+    std::this_thread::sleep_for(std::chrono::seconds{2});
+
+    int whole = 0;
+    for (int i = 0; i < 12; ++i)
+    {
+        auto answer = stream(i % 3, "hello", "r" + std::to_string(i), 5);
+        answer.read_to_end();
+        whole += answer.text() == expected_answer("hello", 5) ? 1 : 0;
+    }
+
+    EXPECT_EQ(whole, 12);
+    EXPECT_EQ(started(0), 0);
+}
+
+TEST_F(reclaim_test, long_stream_leaves_an_announced_engine_and_is_whole)
+{
+    deployment_plan plan;
+    plan.token_us = 20000;
+    deploy(plan);
+    for (int i = 0; i < 3; ++i)
+        deployment::control(system->engine(i), {{"prefill_rate", 4000}});
+    // Load reports of all engines come round in turn; replaying is dear once they are known.
+    std::this_thread::sleep_for(std::chrono::milliseconds{2500});
+    std::string const content(6000, 'x');
+    auto answer = stream(0, content, "r1", 200);
+    answer.read_tokens(10);
+    auto const leaving = busy_engine();
+    system->announce("engine-" + std::to_string(leaving + 1), 1500);
+    std::thread reclaim(
+        [&]
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds{1500});
+            system->engine(leaving).kill();
+        });
+
+    answer.read_to_end();
+    reclaim.join();
+
+    EXPECT_EQ(answer.text(), expected_answer(content, 200));
+    EXPECT_GE(system->counter(0, "auburnweir_retries_total{reason=\"backend_leaving\"}"), 1);
+    EXPECT_EQ(system->counter(0, "auburnweir_retries_total{reason=\"stream_cut\"}"), 0);
+    EXPECT_EQ(system->engine_total("imported"), 1);
+}
+
+TEST_F(reclaim_test, short_stream_stays_at_an_announced_engine)
+{
+    deployment_plan plan;
+    plan.token_us = 20000;
+    deploy(plan);
+    auto answer = stream(0, "hello", "r1", 60);
+    answer.read_tokens(5);
+    system->announce("engine-" + std::to_string(busy_engine() + 1), 30000);
+
+    answer.read_to_end();
+
+    EXPECT_EQ(answer.text(), expected_answer("hello", 60));
+    EXPECT_EQ(system->engine_total("started"), 1);
+    EXPECT_GE(system->counter(0, "auburnweir_streams_continued_total"), 1);
+}
+
+TEST_F(reclaim_test, whole_failure_domain_taken_at_once_loses_no_accepted_request)
+{
+    deployment_plan plan;
+    plan.engines = 6;
+    plan.concurrency = "32";
+    plan.token_us = 8000;
+    deploy(plan);
+    std::vector<streamed_answer> answers;
+    answers.reserve(9);
+    for (int i = 0; i < 9; ++i)
+    {
+        answers.push_back(
+            stream(i % 3, "caller " + std::to_string(i), "r" + std::to_string(i), 150));
+        answers.back().read_tokens(3);
+    }
+    system->entry(0).kill();
+    system->engine(0).kill();
+    system->engine(3).kill();
+
+    for (int i = 0; i < 9; ++i)
+    {
+        answers[i].read_to_end();
+        auto text = answers[i].text();
+        if (!answers[i].finished())
+        {
+            streamed_answer rest(
+                system->entry_port(1 + i % 2), "GET", "/v1/requests/r" + std::to_string(i),
+                authorised({{"Last-Event-ID", answers[i].last_event_id()}}), "");
+            rest.read_to_end();
+            text += rest.text();
+        }
+        EXPECT_EQ(text, expected_answer("caller " + std::to_string(i), 150)) << i;
+    }
+}
+
+TEST_F(reclaim_test, sigterm_lets_streams_finish_and_refuses_readiness)
+{
+    deployment_plan plan;
+    plan.token_us = 10000;
+    deploy(plan);
+    auto answer = stream(0, "hello", "r1", 100);
+    answer.read_tokens(10);
+    system->entry(0).signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds{30});
+    EXPECT_EQ(call(system->entry_port(0), "GET", "/ready").status, 503);
+
+    answer.read_to_end();
+
+    EXPECT_EQ(answer.text(), expected_answer("hello", 100));
+    EXPECT_TRUE(answer.finished());
+    EXPECT_EQ(system->entry(0).wait_for_end(5000), 0);
+}
+
+TEST_F(reclaim_test, entry_under_notice_hands_its_requests_over)
+{
+    deployment_plan plan;
+    plan.token_us = 20000;
+    deploy(plan);
+    auto answer = stream(0, "hello", "r1", 250);
+    answer.read_tokens(10);
+    system->announce("entry-1", 2000);
+    answer.read_to_end();
+    ASSERT_FALSE(answer.finished());
+
+    streamed_answer rest(
+        system->entry_port(1), "GET", "/v1/requests/r1",
+        authorised({{"Last-Event-ID", answer.last_event_id()}}), "");
+    rest.read_to_end();
+
+    EXPECT_EQ(answer.text() + rest.text(), expected_answer("hello", 250));
+    EXPECT_EQ(system->entry(0).wait_for_end(5000), 0);
+}
+
+TEST_F(reclaim_test, deferrable_request_is_stored_and_answered)
+{
+    deploy();
+    auto const accepted = defer(0, "audit", "salinity", 40);
+    EXPECT_EQ(accepted.status, 202);
+    EXPECT_EQ(accepted.header("Location"), "/v1/requests/audit");
+    EXPECT_TRUE(eventually([&] { return answered(1, "audit", "salinity", 40); }));
+    EXPECT_EQ(system->counter_sum("auburnweir_reviews_completed_total"), 1);
+}
+
+TEST_F(reclaim_test, deferrable_request_survives_the_death_of_its_runner)
+{
+    deployment_plan plan;
+    plan.token_us = 30000;
+    deploy(plan);
+    EXPECT_EQ(defer(0, "audit", "salinity", 100).status, 202);
+    auto const runner = [&]
+    {
+        for (int i = 0; i < 3; ++i)
+            if (system->counter(i, "auburnweir_reviews_claimed_total") > 0)
+                return i;
+        return -1;
+    };
+    ASSERT_TRUE(eventually([&] { return runner() >= 0; }));
+    auto const dead = runner();
+    system->entry(dead).kill();
+
+    EXPECT_TRUE(
+        eventually([&] { return answered((dead + 1) % 3, "audit", "salinity", 100); }, 40000));
+}
+
+TEST_F(reclaim_test, deferrable_request_is_refused_when_it_cannot_be_stored)
+{
+    deploy();
+    deployment::control(system->platform(), {{"down", true}});
+    auto const reply = defer(0, "audit", "salinity", 40);
+    EXPECT_EQ(reply.status, 503);
+    EXPECT_EQ(reply.run(), "not_run");
+}
+
+TEST_F(reclaim_test, half_of_the_engines_failing_causes_no_retry_storm)
+{
+    deployment_plan plan;
+    plan.engines = 4;
+    plan.token_us = 1000;
+    deploy(plan);
+    for (int i = 0; i < 2; ++i)
+        deployment::control(system->engine(i), {{"refuse_status", 500}});
+    constexpr int requests = 300;
+    for (int i = 0; i < requests; ++i)
+        stream(i % 3, "hello", "r" + std::to_string(i), 2).read_to_end();
+
+    auto const attempts = system->counter_sum("auburnweir_backend_attempts_total");
+    constexpr double budget_share = 0.1;
+    constexpr double reserve_of_three_entries = 30;
+    EXPECT_LE(attempts, requests * (1 + budget_share) + reserve_of_three_entries);
+}
+
+TEST_F(reclaim_test, platform_outage_leaves_chats_running)
+{
+    deploy();
+    deployment::control(system->platform(), {{"down", true}});
+    std::this_thread::sleep_for(std::chrono::milliseconds{500});
+    auto answer = stream(0, "hello", "r1", 50);
+    answer.read_to_end();
+    EXPECT_EQ(answer.text(), expected_answer("hello", 50));
+}
+
+} // namespace
+} // namespace auburnweir::tests
--- /dev/null
+++ b/tests/property/parser_property_test.cpp
@@ -0,0 +1,163 @@
+#include "protocol/call_head.hpp"
+#include "protocol/chat_codec.hpp"
+#include "protocol/engine_codec.hpp"
+#include "protocol/ini_document.hpp"
+#include "protocol/peer_handshake.hpp"
+#include "protocol/peer_message.hpp"
+#include "protocol/platform_codec.hpp"
+#include "protocol/record_codec.hpp"
+#include "protocol/service_text.hpp"
+#include "protocol/sse.hpp"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+/// Parsers against arbitrary bytes and against sound messages with some bytes changed: they
+/// answer or refuse, and what they take survives a round trip.
+
+namespace auburnweir::protocol
+{
+namespace
+{
+
+std::string mutated(std::string text)
+{
+    auto const changes = *rc::gen::inRange(0, 6);
+    for (int i = 0; i < changes && !text.empty(); ++i)
+    {
+        auto const at = *rc::gen::inRange<std::size_t>(0, text.size());
+        switch (*rc::gen::inRange(0, 3))
+        {
+        case 0:
+            text[at] = *rc::gen::arbitrary<char>();
+            break;
+        case 1:
+            text.erase(at, 1);
+            break;
+        default:
+            text.insert(at, 1, *rc::gen::arbitrary<char>());
+        }
+    }
+    return text;
+}
+
+std::string bytes()
+{
+    return *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+}
+
+peer_message sound_message()
+{
+    journal_key const key{state::organisation_id{"o"}, state::request_id{"r"}};
+    state::journal_part const part{
+        state::sequence_number{3},
+        *rc::gen::container<std::vector<std::string>>(rc::gen::string<std::string>()),
+        state::finish_reason::stop};
+    correlation const number{*rc::gen::arbitrary<std::uint32_t>()};
+    switch (*rc::gen::inRange(0, 6))
+    {
+    case 0:
+        return journal_append{key, part, number};
+    case 1:
+        return journal_ack{number, ack_status::superseded, true};
+    case 2:
+        return journal_reply{part, {{state::generation_tag{"g"}, state::open_end}}, number};
+    case 3:
+        return backend_leaving{state::backend_id{"b"}, state::duration{5}};
+    case 4:
+        return grouped_write{{state::row_key{"k"}, state::row_version{4}, "v", false}, number};
+    default:
+        return grouped_result{
+            state::write_conflict{{state::row_key{"k"}, state::row_version{4}, "v"}}, number};
+    }
+}
+
+RC_GTEST_PROP(parser_property, peer_frames_survive_a_round_trip, ())
+{
+    std::vector<peer_message> const messages{sound_message(), sound_message()};
+    auto const frame = encode_frame(messages);
+    auto const decoded = decode_frame(frame);
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(encode_frame(decoded.value()) == frame);
+}
+
+RC_GTEST_PROP(parser_property, damaged_peer_frames_are_taken_or_refused, ())
+{
+    auto const decoded = decode_frame(mutated(encode_frame({sound_message()})));
+    if (decoded)
+        RC_ASSERT(decode_frame(encode_frame(decoded.value())).has_value());
+}
+
+RC_GTEST_PROP(parser_property, arbitrary_bytes_never_break_a_parser, ())
+{
+    auto const text = bytes();
+    (void)decode_frame(text);
+    (void)decode_chat_request(text);
+    (void)decode_stored_chat(text);
+    (void)decode_engine_event(text);
+    (void)decode_load_header(text);
+    (void)decode_engine_status(text);
+    (void)decode_ledger_record(text);
+    (void)decode_review_record(text);
+    (void)decode_instances(text);
+    (void)decode_rows(text);
+    (void)decode_resume_point(text);
+    (void)route_of("GET", text);
+    (void)route_of("POST", text);
+    (void)url_decoded(text);
+    peer_handshake handshake(
+        peer_handshake::role::accepting, state::instance_id{"a"}, "key", "nonce");
+    RC_ASSERT(!std::holds_alternative<handshake_done>(handshake.receive(text)));
+}
+
+RC_GTEST_PROP(parser_property, damaged_chat_bodies_are_taken_or_refused, ())
+{
+    auto const body = mutated(
+        R"({"model":"m","stream":true,"max_tokens":5,"messages":[{"role":"u","content":"c"}]})");
+    auto const decoded = decode_chat_request(body);
+    if (!decoded)
+        RC_ASSERT(!decoded.error().reason.empty());
+    else
+        RC_ASSERT(!decoded.value().messages.empty());
+}
+
+RC_GTEST_PROP(parser_property, damaged_service_texts_give_a_model_or_findings, ())
+{
+    auto const text = mutated(
+        "[organisation o]\nbearer_sha256 = " + std::string(64, 'a') +
+        "\n[failure_domain d]\nregion = r\n[service s]\nkind = engine\n"
+        "[backend b]\nservice = s\nfailure_domain = d\naddress = 127.0.0.1:80\n");
+    state::findings found;
+    auto const config = read_service_text(text, "f", found);
+    RC_ASSERT((config != nullptr) == found.empty());
+}
+
+RC_GTEST_PROP(parser_property, event_streams_are_split_the_same_in_any_parts, ())
+{
+    std::string stream;
+    auto const data = *rc::gen::container<std::vector<std::string>>(
+        rc::gen::nonEmpty(rc::gen::container<std::string>(rc::gen::inRange('a', 'z'))));
+    for (auto const& d : data)
+        append_sse_event(stream, "1", d);
+    sse_parser parser;
+    std::vector<std::string> seen;
+    while (!stream.empty())
+    {
+        auto const size = *rc::gen::inRange<std::size_t>(1, stream.size() + 1);
+        RC_ASSERT(parser.feed(stream.substr(0, size)));
+        stream.erase(0, size);
+        while (auto const event = parser.next())
+            seen.emplace_back(*event);
+    }
+    RC_ASSERT(seen == data);
+}
+
+RC_GTEST_PROP(parser_property, url_escapes_survive_a_round_trip, ())
+{
+    auto const text = bytes();
+    RC_ASSERT(url_decoded(url_encoded(text)) == text);
+}
+
+} // namespace
+} // namespace auburnweir::protocol
--- /dev/null
+++ b/tests/support/deployment.cpp
@@ -0,0 +1,277 @@
+#include "support/deployment.hpp"
+
+#include "protocol/digest.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+namespace auburnweir::tests
+{
+
+namespace
+{
+
+constexpr char const* bearer = "test-token";
+constexpr int poll_step_ms = 20;
+
+std::string scratch_folder()
+{
+    auto pattern = (std::filesystem::temp_directory_path() / "auburnweir-XXXXXX").string();
+    return mkdtemp(pattern.data());
+}
+
+std::string name_of(std::string const& kind, int index)
+{
+    return kind + "-" + std::to_string(index + 1);
+}
+
+} // namespace
+
+bool eventually(std::function<bool()> const& holds, int milliseconds)
+{
+    auto const until = std::chrono::steady_clock::now() + std::chrono::milliseconds{milliseconds};
+    while (!holds())
+    {
+        if (std::chrono::steady_clock::now() >= until)
+            return false;
+        std::this_thread::sleep_for(std::chrono::milliseconds{poll_step_ms});
+    }
+    return true;
+}
+
+header_list authorised(header_list more)
+{
+    more.emplace_back("Authorization", std::string{"Bearer "} + bearer);
+    return more;
+}
+
+std::string chat_body(std::string const& content, int max_tokens, bool stream)
+{
+    json const message{{"role", "user"}, {"content", content}};
+    return json{
+        {"model", "assistant"},
+        {"max_tokens", max_tokens},
+        {"stream", stream},
+        {"messages", json::array({message})}}
+        .dump();
+}
+
+std::string expected_answer(std::string const& content, int max_tokens)
+{
+    return standins::answer_text("user\n" + content + "\n", static_cast<std::uint64_t>(max_tokens));
+}
+
+std::string program(std::string const& name)
+{
+    bool const standin = name.rfind("standin-", 0) == 0;
+    return std::string{AUBURNWEIR_BUILD} + (standin ? "/tools/standins/" : "/") + name;
+}
+
+deployment::deployment(deployment_plan plan)
+    : plan_(std::move(plan))
+    , folder_(scratch_folder())
+{
+    platform_ = std::make_unique<process>(std::vector{program("standin-platform")});
+    proxy_ = std::make_unique<process>(std::vector{program("standin-proxy")});
+    platform_port_ = proxied(plan_.proxied_platform, platform_->port(), platform_route_);
+    for (int i = 0; i < plan_.engines; ++i)
+    {
+        engines_.push_back(std::make_unique<process>(std::vector{
+            program("standin-engine"), std::string{"--token-us"}, std::to_string(plan_.token_us),
+            std::string{"--slots"}, std::string{"64"}}));
+        engine_routes_.push_back(0);
+        engine_ports_.push_back(
+            proxied(plan_.proxied_engines, engines_.back()->port(), engine_routes_.back()));
+    }
+    for (int i = 0; i < plan_.services; ++i)
+    {
+        services_.push_back(std::make_unique<process>(std::vector{program("standin-service")}));
+        service_routes_.push_back(0);
+        service_ports_.push_back(
+            proxied(plan_.proxied_services, services_.back()->port(), service_routes_.back()));
+    }
+    write_service_text();
+    for (int i = 0; i < plan_.entries; ++i)
+        start_entry(i);
+    publish_instances();
+}
+
+deployment::~deployment()
+{
+    entries_.clear();
+    std::filesystem::remove_all(folder_);
+}
+
+std::string deployment::domain(int index) const
+{
+    return name_of("domain", index % plan_.domains);
+}
+
+std::uint16_t deployment::proxied(bool wanted, std::uint16_t port, std::uint16_t& route)
+{
+    if (!wanted)
+        return port;
+    json const body{{"target", "127.0.0.1:" + std::to_string(port)}};
+    auto const reply = call(proxy_->port(), "POST", "/routes", {}, body.dump());
+    route = static_cast<std::uint16_t>(protocol::integer_at(reply.parsed(), "port"));
+    return route;
+}
+
+void deployment::write_service_text()
+{
+    std::ofstream text(folder_ + "/services.ini");
+    text << "[organisation tests]\nbearer_sha256 = " << protocol::sha256(bearer).str() << "\n";
+    for (int i = 0; i < plan_.domains; ++i)
+        text << "[failure_domain " << domain(i) << "]\nregion = here\n";
+    text << "[service assistant]\nkind = engine\n"
+         << "[service booking]\nkind = plain\noperations = availability, book\n"
+         << "idempotent = availability\n";
+    for (int i = 0; i < plan_.engines; ++i)
+        text << "[backend " << name_of("engine", i)
+             << "]\nservice = assistant\nfailure_domain = " << domain(i)
+             << "\naddress = 127.0.0.1:" << engine_ports_[i]
+             << "\nconcurrency = " << plan_.concurrency << "\n";
+    for (int i = 0; i < plan_.services; ++i)
+        text << "[backend " << name_of("desk", i)
+             << "]\nservice = booking\nfailure_domain = " << domain(i)
+             << "\naddress = 127.0.0.1:" << service_ports_[i]
+             << "\nconcurrency = " << plan_.concurrency << "\n";
+}
+
+void deployment::start_entry(int index)
+{
+    std::map<std::string, std::string> settings{
+        {"id", name_of("entry", index)},
+        {"failure_domain", domain(index)},
+        {"region", "here"},
+        {"platform", "127.0.0.1:" + std::to_string(platform_port_)},
+        {"configuration_file", folder_ + "/services.ini"},
+        {"peer_key", "a-key-that-only-tests-use"},
+        {"poll_period_ms", "200"},
+        {"review_scan_ms", "200"},
+        {"readiness_delay_ms", "100"},
+        {"adopt_delay_ms", "600"},
+        {"log_level", "warning"}};
+    for (auto const& [key, value] : plan_.entry_settings)
+        settings[key] = value;
+    auto const path = folder_ + "/" + name_of("entry", index) + ".ini";
+    std::ofstream text(path);
+    text << "[entry]\n";
+    for (auto const& [key, value] : settings)
+        text << key << " = " << value << "\n";
+    text.close();
+    entries_.push_back(std::make_unique<process>(std::vector{
+        program("auburnweir-entry"), std::string{"--settings"}, path, std::string{"--seed"},
+        std::to_string(index + 1)}));
+}
+
+void deployment::publish_instances()
+{
+    auto list = json::array();
+    for (int i = 0; i < entries(); ++i)
+    {
+        if (std::find(unlisted_.begin(), unlisted_.end(), i) != unlisted_.end())
+            continue;
+        list.push_back(
+            {{"id", name_of("entry", i)},
+             {"incarnation", 1},
+             {"failure_domain", domain(i)},
+             {"region", "here"},
+             {"host", "127.0.0.1"},
+             {"port", entry(i).port("peers")}});
+    }
+    json const body{{"instances", list}};
+    call(platform_->port(), "POST", "/control/instances", {}, body.dump());
+    auto const expected = static_cast<double>(list.size());
+    eventually(
+        [&]
+        {
+            for (int i = 0; i < entries(); ++i)
+            {
+                bool const unlisted =
+                    std::find(unlisted_.begin(), unlisted_.end(), i) != unlisted_.end();
+                if (!unlisted && counter(i, "auburnweir_instances_known") != expected)
+                    return false;
+            }
+            return true;
+        });
+}
+
+void deployment::control(process& standin, json const& body)
+{
+    call(standin.port(), "POST", "/control", {}, body.dump());
+}
+
+void deployment::set_network(std::uint16_t route, json faults)
+{
+    faults["port"] = route;
+    call(proxy_->port(), "POST", "/faults", {}, faults.dump());
+}
+
+void deployment::platform_network(json faults)
+{
+    set_network(platform_route_, std::move(faults));
+}
+
+void deployment::engine_network(int index, json faults)
+{
+    set_network(engine_routes_.at(index), std::move(faults));
+}
+
+void deployment::service_network(int index, json faults)
+{
+    set_network(service_routes_.at(index), std::move(faults));
+}
+
+void deployment::announce(std::string const& subject, int milliseconds)
+{
+    json const notice{{"subject", subject}, {"time_left_ms", milliseconds}};
+    json const body{{"notices", json::array({notice})}};
+    call(platform_->port(), "POST", "/control/notices", {}, body.dump());
+}
+
+std::int64_t deployment::figure(process& standin, std::string const& name)
+{
+    return protocol::integer_at(call(standin.port(), "GET", "/statistics").parsed(), name.c_str());
+}
+
+std::int64_t deployment::engine_total(std::string const& name)
+{
+    std::int64_t sum = 0;
+    for (auto& e : engines_)
+        if (e->pid() > 0)
+            sum += figure(*e, name);
+    return sum;
+}
+
+std::int64_t deployment::runs(std::string const& key)
+{
+    std::int64_t sum = 0;
+    for (auto& s : services_)
+        if (s->pid() > 0)
+            sum += protocol::integer_at(call(s->port(), "GET", "/runs").parsed(), key.c_str());
+    return sum;
+}
+
+double deployment::counter(int index, std::string const& name)
+{
+    auto const text = "\n" + call(entry_port(index), "GET", "/metrics").body;
+    auto const at = text.find("\n" + name + " ");
+    if (at == std::string::npos)
+        return 0;
+    return std::stod(text.substr(at + name.size() + 2));
+}
+
+double deployment::counter_sum(std::string const& name)
+{
+    double sum = 0;
+    for (int i = 0; i < entries(); ++i)
+        if (entry(i).pid() > 0)
+            sum += counter(i, name);
+    return sum;
+}
+
+} // namespace auburnweir::tests
--- /dev/null
+++ b/tests/unit/text_test.cpp
@@ -0,0 +1,278 @@
+#include "protocol/call_head.hpp"
+#include "protocol/chat_codec.hpp"
+#include "protocol/entry_settings.hpp"
+#include "protocol/ini_document.hpp"
+#include "protocol/peer_handshake.hpp"
+#include "protocol/problem.hpp"
+#include "protocol/service_text.hpp"
+#include "protocol/sse.hpp"
+#include "transport/log.hpp"
+
+#include <fstream>
+#include <gtest/gtest.h>
+#include <iterator>
+
+namespace auburnweir::protocol
+{
+namespace
+{
+
+class service_text_test : public testing::Test
+{
+protected:
+    std::string sound() const
+    {
+        return "[organisation o]\nbearer_sha256 = " + std::string(64, 'a') +
+               "\n[failure_domain d]\nregion = r\n[service s]\nkind = engine\n"
+               "[backend b]\nservice = s\nfailure_domain = d\naddress = 127.0.0.1:80\n";
+    }
+
+    state::findings findings_of(std::string const& text)
+    {
+        state::findings found;
+        config = read_service_text(text, "f", found);
+        return found;
+    }
+
+    /// Line and reason of the only finding.
+    std::string only_finding(std::string const& text)
+    {
+        auto const found = findings_of(text);
+        if (found.size() != 1)
+            return std::to_string(found.size()) + " findings:\n" + state::to_text(found);
+        return std::to_string(found[0].line) + " " + found[0].reason;
+    }
+
+    state::configuration_ptr config;
+};
+
+TEST_F(service_text_test, sound_text_has_no_findings)
+{
+    EXPECT_TRUE(findings_of(sound()).empty());
+    ASSERT_TRUE(config);
+    EXPECT_EQ(config->backends().size(), 1U);
+}
+
+TEST_F(service_text_test, all_findings_are_reported_with_their_lines)
+{
+    auto const found = findings_of(
+        "stray = 1\n[organisation o]\nbearer_sha256 = short\nweight = heavy\ncolour = red\n"
+        "[service s]\nkind = magic\n[backend b]\nservice = t\naddress = nowhere\n");
+    std::string const expected = "f:1: stray: stands outside any section\n"
+                                 "f:3: organisation o.bearer_sha256";
+    auto const text = state::to_text(found);
+    EXPECT_EQ(text.substr(0, expected.size()), expected);
+    for (auto const* part :
+         {"f:4: organisation o.weight: 'heavy' is not a number", "f:5: organisation o.colour",
+          "f:7: service s.kind", "f:8: backend b.failure_domain: key is missing",
+          "f:10: backend b.address", "f:8: backend b: belongs to unknown service t"})
+        EXPECT_NE(text.find(part), std::string::npos) << part << " in\n" << text;
+    EXPECT_FALSE(config);
+}
+
+TEST_F(service_text_test, cycle_of_dependencies_is_a_finding)
+{
+    auto const text = sound() + "[service x]\nkind = engine\ndepends_on = y\n"
+                                "[service y]\nkind = engine\ndepends_on = x\n";
+    EXPECT_EQ(only_finding(text), "14 dependency cycle through x");
+}
+
+TEST_F(service_text_test, dangling_dependency_is_a_finding)
+{
+    EXPECT_EQ(
+        only_finding(sound() + "[service x]\nkind = engine\ndepends_on = gone\n"),
+        "11 depends on unknown service gone");
+}
+
+TEST_F(service_text_test, repeated_section_and_key_are_findings)
+{
+    EXPECT_EQ(only_finding(sound() + "[service s]\nkind = engine\n"), "11 section stands twice");
+    EXPECT_EQ(
+        only_finding(sound() + "[service x]\nkind = engine\nkind = engine\n"),
+        "13 key stands twice");
+}
+
+TEST_F(service_text_test, over_long_line_is_a_finding_and_never_cut)
+{
+    auto const text = sound() + "; " + std::string(300, 'x') + "\n";
+    EXPECT_EQ(only_finding(text), "11 line is longer than 198 bytes");
+}
+
+TEST_F(service_text_test, idempotent_operation_must_be_listed)
+{
+    EXPECT_EQ(
+        only_finding(sound() + "[service x]\nkind = plain\noperations = a\nidempotent = b\n"),
+        "11 idempotent operation b is not listed");
+}
+
+TEST_F(service_text_test, example_text_is_sound)
+{
+    std::ifstream file(std::string{AUBURNWEIR_SOURCE} + "/examples/faroles.ini");
+    std::string const text{std::istreambuf_iterator<char>(file), {}};
+    EXPECT_EQ(state::to_text(findings_of(text)), "");
+}
+
+TEST(entry_settings_test, missing_required_keys_are_all_findings)
+{
+    state::findings found;
+    EXPECT_FALSE(read_entry_settings("[entry]\nworkers = 0\nlisten = here\n", "f", found));
+    EXPECT_EQ(found.size(), 8U) << state::to_text(found);
+}
+
+TEST(entry_settings_test, defaults_fill_what_is_not_set)
+{
+    state::findings found;
+    auto const settings = read_entry_settings(
+        "[entry]\nid = e\nfailure_domain = d\nregion = r\nplatform = 127.0.0.1:1\n"
+        "configuration_file = f\npeer_key = 0123456789abcdef\n",
+        "f", found);
+    ASSERT_TRUE(settings) << state::to_text(found);
+    EXPECT_EQ(settings->workers, 2);
+    EXPECT_EQ(settings->routing, "predicted_first_token");
+}
+
+std::string page(std::string const& name)
+{
+    std::ifstream file(std::string{AUBURNWEIR_SOURCE} + "/docs/" + name);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+TEST(documentation_test, operations_page_holds_the_reference_of_all_settings)
+{
+    auto const text = page("OPERATIONS.md");
+    EXPECT_NE(text.find(entry_settings_reference()), std::string::npos);
+    EXPECT_NE(text.find(service_text_reference()), std::string::npos);
+}
+
+TEST(documentation_test, events_page_holds_the_catalogue)
+{
+    EXPECT_NE(page("EVENTS.md").find(transport::log_catalogue_markdown()), std::string::npos);
+}
+
+TEST(documentation_test, operations_page_names_every_reason)
+{
+    auto const text = page("OPERATIONS.md");
+    for (int i = 0; i < static_cast<int>(state::refusal_reason::count_); ++i)
+    {
+        auto const name = std::string{name_of(static_cast<state::refusal_reason>(i))};
+        EXPECT_NE(text.find("`" + name + "`"), std::string::npos) << name;
+    }
+    for (int i = 0; i < static_cast<int>(state::retry_reason::count_); ++i)
+    {
+        auto const name = std::string{name_of(static_cast<state::retry_reason>(i))};
+        EXPECT_NE(text.find("`" + name + "`"), std::string::npos) << name;
+    }
+}
+
+TEST(sse_parser_test, events_come_whole_whatever_the_parts)
+{
+    std::string const stream = ": comment\nid: 1\ndata: one\n\ndata: two\r\ndata: lines\r\n\r\n";
+    for (std::size_t step = 1; step <= stream.size(); ++step)
+    {
+        sse_parser parser;
+        std::vector<std::string> seen;
+        for (std::size_t i = 0; i < stream.size(); i += step)
+        {
+            ASSERT_TRUE(parser.feed(std::string_view{stream}.substr(i, step)));
+            while (auto const data = parser.next())
+                seen.emplace_back(*data);
+        }
+        EXPECT_EQ(seen, (std::vector<std::string>{"one", "two\nlines"}));
+    }
+}
+
+TEST(sse_parser_test, endless_event_is_refused)
+{
+    sse_parser parser;
+    bool fits = true;
+    for (int i = 0; i < 100 && fits; ++i)
+        fits = parser.feed(std::string(4096, 'x'));
+    EXPECT_FALSE(fits);
+}
+
+class call_head_test : public testing::Test
+{
+protected:
+    bool refused(raw_headers const& raw) { return !decode_call_head(raw); }
+};
+
+TEST_F(call_head_test, faulty_headers_are_refused)
+{
+    raw_headers raw;
+    raw.deadline_ms = "-5";
+    EXPECT_TRUE(refused(raw));
+    raw = {};
+    raw.priority = "urgent";
+    EXPECT_TRUE(refused(raw));
+    raw = {};
+    raw.request_id = "no/slashes";
+    EXPECT_TRUE(refused(raw));
+    raw = {};
+    raw.idempotency_key = std::string(129, 'k');
+    EXPECT_TRUE(refused(raw));
+    raw = {};
+    raw.last_event_id = "g.x";
+    EXPECT_TRUE(refused(raw));
+}
+
+TEST_F(call_head_test, sound_headers_are_taken)
+{
+    raw_headers raw;
+    raw.authorization = "Bearer t";
+    raw.deadline_ms = "250";
+    raw.priority = "deferrable";
+    raw.last_event_id = "ab12.17";
+    auto const head = decode_call_head(raw);
+    ASSERT_TRUE(head);
+    EXPECT_EQ(head.value().bearer, "t");
+    EXPECT_EQ(head.value().time_allowed, std::chrono::milliseconds{250});
+    EXPECT_EQ(head.value().level, state::priority::deferrable);
+    EXPECT_EQ(head.value().resume.after, state::sequence_number{17});
+}
+
+class peer_handshake_test : public testing::Test
+{
+protected:
+    peer_handshake connecting{
+        peer_handshake::role::connecting, state::instance_id{"a"}, "shared", "n1"};
+    peer_handshake accepting{
+        peer_handshake::role::accepting, state::instance_id{"b"}, "shared", "n2"};
+    peer_handshake stranger{
+        peer_handshake::role::accepting, state::instance_id{"b"}, "other", "n3"};
+};
+
+TEST_F(peer_handshake_test, same_key_proves_both_sides)
+{
+    auto const challenge = std::get<handshake_send>(accepting.receive(connecting.hello()));
+    auto const done = std::get<handshake_done>(connecting.receive(challenge.frame));
+    EXPECT_EQ(done.peer, state::instance_id{"b"});
+    auto const proved = std::get<handshake_done>(accepting.receive(*done.frame));
+    EXPECT_EQ(proved.peer, state::instance_id{"a"});
+}
+
+TEST_F(peer_handshake_test, other_key_is_refused_on_both_sides)
+{
+    auto const challenge = std::get<handshake_send>(stranger.receive(connecting.hello()));
+    EXPECT_TRUE(std::holds_alternative<handshake_refused>(connecting.receive(challenge.frame)));
+    EXPECT_TRUE(std::holds_alternative<handshake_refused>(stranger.receive(challenge.frame)));
+}
+
+TEST_F(peer_handshake_test, messages_before_the_proof_are_refused)
+{
+    EXPECT_TRUE(std::holds_alternative<handshake_refused>(accepting.receive("\x80")));
+}
+
+TEST(problem_test, body_names_reason_outcome_and_request)
+{
+    problem p{
+        state::refusal_reason::store_unavailable, state::run_outcome::not_run, "d",
+        state::request_id{"r"}, std::chrono::milliseconds{1500}};
+    auto const body = encode(p);
+    for (auto const* part :
+         {R"("reason":"store_unavailable")", R"("run":"not_run")", R"("request_id":"r")",
+          R"("retry_after":2)", R"("status":503)"})
+        EXPECT_NE(body.find(part), std::string::npos) << part;
+}
+
+} // namespace
+} // namespace auburnweir::protocol
