--- /dev/null
+++ b/bench/load.hpp
@@ -0,0 +1,56 @@
+#ifndef AUBURNWEIR_BENCH_LOAD_HPP
+#define AUBURNWEIR_BENCH_LOAD_HPP
+
+#include "support/caller.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace auburnweir::bench
+{
+
+/// What a run of calls or streams showed.
+struct load_result
+{
+    std::vector<double> first_ms; ///< time to the first byte of the answer's body
+    std::int64_t tokens = 0;
+    int failures = 0;
+    double seconds = 0; ///< of the whole run
+};
+
+/// One kind of request that is sent again and again.
+struct load_request
+{
+    std::uint16_t port = 0;
+    std::string target;
+    tests::header_list headers;
+    std::string body;
+};
+
+/// Sends `count` requests, `concurrency` at a time, and reads each answer to its end.
+load_result run_load(load_request const& request, int count, int concurrency);
+
+/// Processor time and memory of a process.
+struct process_usage
+{
+    double cpu_seconds;
+    double rss_bytes;
+};
+
+process_usage usage_of(int pid);
+
+double quantile(std::vector<double> values, double q);
+
+/// Slope and offset of the least-squares line through the points.
+struct line_fit
+{
+    double slope;
+    double offset;
+};
+
+line_fit fit_line(std::vector<std::pair<double, double>> const& points);
+
+} // namespace auburnweir::bench
+
+#endif
--- /dev/null
+++ b/bench/system.cpp
@@ -0,0 +1,170 @@
+#include "load.hpp"
+#include "support/deployment.hpp"
+
+#include <cstdio>
+#include <popt.h>
+#include <thread>
+
+/// Measures real processes on loopback and prints ours and the target side by side, as CSV.
+
+namespace
+{
+
+using namespace auburnweir;
+using namespace auburnweir::bench;
+using namespace auburnweir::tests;
+
+void print(char const* metric, double ours, double target, char const* unit)
+{
+    std::printf("%s,%.4g,%.4g,%s\n", metric, ours, target, unit);
+    std::fflush(stdout);
+}
+
+void print_point(char const* series, double x, double y)
+{
+    std::printf("point:%s,%.6g,%.6g,\n", series, x, y);
+    std::fflush(stdout);
+}
+
+deployment_plan plan_with(int entries, std::int64_t token_us)
+{
+    deployment_plan plan;
+    plan.entries = entries;
+    plan.token_us = token_us;
+    plan.concurrency = "100000";
+    plan.entry_settings = {{"workers", "1"}, {"review_scan_ms", "1000"}, {"poll_period_ms", "500"}};
+    return plan;
+}
+
+load_request chat_request_to(std::uint16_t port, int tokens)
+{
+    return {port, "/v1/chat/completions", authorised(), chat_body("hello", tokens, true)};
+}
+
+/// Latency of an idempotent call and of a chat's first token, against the back end called directly.
+void measure_latency(int calls)
+{
+    deployment system(plan_with(3, 0));
+    load_request direct{system.service(0).port(), "/availability", {}, "date"};
+    load_request ours{
+        system.entry_port(0), "/v1/services/booking/availability", authorised(), "date"};
+    run_load(ours, 200, 1);
+    auto const a = run_load(direct, calls, 1);
+    auto const b = run_load(ours, calls, 1);
+    print("added_call_p50_ms", quantile(b.first_ms, .5) - quantile(a.first_ms, .5), 0.3, "ms");
+    print("added_call_p99_ms", quantile(b.first_ms, .99) - quantile(a.first_ms, .99), 2, "ms");
+
+    auto const c = run_load(chat_request_to(system.engine(0).port(), 1), calls, 1);
+    auto const d = run_load(chat_request_to(system.entry_port(0), 1), calls, 1);
+    print(
+        "added_first_token_p50_ms", quantile(d.first_ms, .5) - quantile(c.first_ms, .5), 0.3, "ms");
+    print(
+        "added_first_token_p99_ms", quantile(d.first_ms, .99) - quantile(c.first_ms, .99), 2, "ms");
+
+    load_request booking{system.entry_port(1), "/v1/services/booking/book", authorised(), "vans"};
+    booking.headers.emplace_back("Idempotency-Key", "bench");
+    auto const e = run_load(booking, 50, 1);
+    print("repeated_booking_p50_ms", quantile(e.first_ms, .5), 20, "ms");
+}
+
+void measure_requests(int calls)
+{
+    deployment system(plan_with(1, 0));
+    load_request const ours{
+        system.entry_port(0), "/v1/services/booking/availability", authorised(), "date"};
+    run_load(ours, 500, 32);
+    auto const before = usage_of(system.entry(0).pid());
+    auto const r = run_load(ours, calls, 32);
+    auto const after = usage_of(system.entry(0).pid());
+    auto const cpu = after.cpu_seconds - before.cpu_seconds;
+    print("requests_per_core_second", calls / cpu, 110, "1/s"); // 10 x (4,000 / 360)
+    print("request_failures", r.failures, 0, "");
+}
+
+/// Tokens that one core of an entry carries, while the journal's replica is kept elsewhere.
+void measure_tokens(int streams, int tokens, std::int64_t token_us)
+{
+    deployment system(plan_with(3, token_us));
+    run_load(chat_request_to(system.entry_port(0), 20), 20, 20);
+    auto const before = usage_of(system.entry(0).pid());
+    auto const r = run_load(chat_request_to(system.entry_port(0), tokens), streams, streams);
+    auto const after = usage_of(system.entry(0).pid());
+    auto const cpu = after.cpu_seconds - before.cpu_seconds;
+    print_point("tokens_vs_cpu_s", static_cast<double>(r.tokens), cpu);
+    print_point("streams_vs_tokens_per_s", streams, static_cast<double>(r.tokens) / r.seconds);
+    print("tokens_per_core_second", static_cast<double>(r.tokens) / cpu, 34000, "1/s");
+    print("stream_failures", r.failures, 0, "");
+}
+
+void measure_memory(std::vector<int> const& sizes)
+{
+    std::vector<std::pair<double, double>> points;
+    for (auto const streams : sizes)
+    {
+        deployment system(plan_with(3, 100000));
+        std::thread load(
+            [&] { run_load(chat_request_to(system.entry_port(0), 60), streams, streams); });
+        std::this_thread::sleep_for(std::chrono::seconds{4});
+        auto const rss = usage_of(system.entry(0).pid()).rss_bytes;
+        load.join();
+        points.emplace_back(streams, rss);
+        print_point("streams_vs_rss_bytes", streams, rss);
+    }
+    print("memory_per_stream_bytes", fit_line(points).slope, 32768, "B");
+}
+
+void measure_ledger(int calls)
+{
+    deployment system(plan_with(8, 0));
+    std::vector<std::thread> callers;
+    auto const begin = std::chrono::steady_clock::now();
+    std::atomic<int> failures{0};
+    for (int n = 0; n < 8; ++n)
+        callers.emplace_back(
+            [&, n]
+            {
+                // 400 operations a second over all entries
+                auto const gap = std::chrono::microseconds{20000};
+                for (int i = 0; i < calls / 8; ++i)
+                {
+                    std::this_thread::sleep_until(begin + gap * (i + 1));
+                    auto headers = authorised();
+                    headers.emplace_back(
+                        "Idempotency-Key", std::to_string(n) + "-" + std::to_string(i));
+                    auto const reply = call(
+                        system.entry_port(n), "POST", "/v1/services/booking/book", headers, "x");
+                    failures += reply.status == 200 ? 0 : 1;
+                }
+            });
+    for (auto& c : callers)
+        c.join();
+    auto const seconds =
+        std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
+    auto const writes = static_cast<double>(deployment::figure(system.platform(), "transactions"));
+    print("booking_rate_per_second", calls / seconds, 400, "1/s");
+    print("writes_per_booking", writes / calls, 0.75, ""); // 300 writes a second at 400 bookings
+    print("booking_failures", failures, 0, "");
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    int quick = 0;
+    poptOption const options[] = {
+        {"quick", 0, POPT_ARG_NONE, &quick, 0, "smaller runs, for a first look", nullptr},
+        POPT_AUTOHELP POPT_TABLEEND};
+    auto* const context = poptGetContext(nullptr, argc, const_cast<char const**>(argv), options, 0);
+    while (poptGetNextOpt(context) >= 0)
+    {
+    }
+    poptFreeContext(context);
+    std::printf("metric,ours,target,unit\n");
+    measure_latency(quick ? 500 : 3000);
+    measure_requests(quick ? 3000 : 20000);
+    for (auto const streams : quick ? std::vector{100} : std::vector{50, 100, 200, 400})
+        measure_tokens(streams, quick ? 100 : 200, 20000);
+    measure_memory(quick ? std::vector{100, 400} : std::vector{100, 400, 800, 1200});
+    measure_ledger(quick ? 800 : 2400);
+    return 0;
+}
--- a/src/coordination/admission_queue.cpp
+++ b/src/coordination/admission_queue.cpp
@@ -155,8 +155,8 @@
     return static_cast<int>(w.request.level) - static_cast<int>(steps);
 }
 
-std::list<admission_queue::waiting_ticket>::iterator
-admission_queue::next_waiting(state::time_point now)
+std::list<admission_queue::waiting_ticket>::iterator admission_queue::next_waiting(
+    state::time_point now)
 {
     auto best = waiting_.end();
     for (auto it = waiting_.begin(); it != waiting_.end(); ++it)
--- a/src/coordination/operation_run.cpp
+++ b/src/coordination/operation_run.cpp
@@ -180,8 +180,8 @@
     return write_current();
 }
 
-operation_command
-operation_run::refuse(state::refusal_reason reason, state::run_outcome outcome, bool release_needed)
+operation_command operation_run::refuse(
+    state::refusal_reason reason, state::run_outcome outcome, bool release_needed)
 {
     phase_ = phase::done;
     return reply_refusal{reason, outcome, release_needed};
--- a/src/coordination/operation_run.hpp
+++ b/src/coordination/operation_run.hpp
@@ -165,8 +165,8 @@
     operation_command give_up_on_store();
     operation_command finish_recorded(bool stored);
     operation_command record_result(state::ledger_state result);
-    operation_command
-    refuse(state::refusal_reason reason, state::run_outcome outcome, bool release_needed = false);
+    operation_command refuse(
+        state::refusal_reason reason, state::run_outcome outcome, bool release_needed = false);
 
     state::attempt_token attempt_;
     state::instance_id owner_;
--- /dev/null
+++ b/src/coordination/order_lease.cpp
@@ -0,0 +1,45 @@
+#include "coordination/order_lease.hpp"
+
+namespace auburnweir::coordination
+{
+
+namespace
+{
+
+std::chrono::milliseconds ms(state::duration d)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(d);
+}
+
+} // namespace
+
+std::optional<state::lease_record> wanted_lease(
+    std::optional<state::lease_record> const& current, state::instance_id const& self,
+    state::wall_time now, lease_settings const& settings)
+{
+    auto const until = now + ms(settings.length);
+    if (!current)
+        return state::lease_record{self, state::fencing_number{1}, until};
+    bool const ours = current->holder == self && now < current->until;
+    if (ours)
+        return state::lease_record{self, current->fencing, until};
+    bool const over = now > current->until + ms(settings.clock_bound);
+    if (!over)
+        return std::nullopt;
+    return state::lease_record{self, current->fencing + state::fencing_number{1}, until};
+}
+
+bool may_order(
+    state::lease_record const& lease, state::instance_id const& self, state::fencing_mode mode,
+    state::wall_time now, lease_settings const& settings)
+{
+    if (lease.holder != self)
+        return false;
+    if (mode == state::fencing_mode::checked)
+        return now < lease.until;
+    // The order is judged at its arrival, up to delivery_bound later; a successor acts only after
+    // the lease's end by its own clock, which may run ahead by clock_bound.
+    return now + ms(settings.delivery_bound) < lease.until;
+}
+
+} // namespace auburnweir::coordination
--- /dev/null
+++ b/src/coordination/order_lease.hpp
@@ -0,0 +1,37 @@
+#ifndef AUBURNWEIR_COORDINATION_ORDER_LEASE_HPP
+#define AUBURNWEIR_COORDINATION_ORDER_LEASE_HPP
+
+#include "state/configuration.hpp"
+#include "state/lease_record.hpp"
+
+#include <optional>
+
+namespace auburnweir::coordination
+{
+
+/// Bounds that make leases safe. They are stated to operators; nothing measures them.
+struct lease_settings
+{
+    state::duration length = std::chrono::seconds{10};
+    state::duration clock_bound = std::chrono::seconds{1};    ///< most that two wall clocks differ
+    state::duration delivery_bound = std::chrono::seconds{2}; ///< most that an order travels
+};
+
+/// The record to write for taking or renewing the lease, else null: another holder may still act.
+///
+/// @param current  the row as read; null when it is absent
+std::optional<state::lease_record> wanted_lease(
+    std::optional<state::lease_record> const& current, state::instance_id const& self,
+    state::wall_time now, lease_settings const& settings);
+
+/// Whether an order may be sent at `now` under a lease that this instance wrote.
+///
+/// To a backend server that checks fencing numbers, until the lease ends by our clock. To one that
+/// ignores them, only while the order is sure to arrive before any successor may act.
+bool may_order(
+    state::lease_record const& lease, state::instance_id const& self, state::fencing_mode mode,
+    state::wall_time now, lease_settings const& settings);
+
+} // namespace auburnweir::coordination
+
+#endif
--- a/src/coordination/prefix_index.hpp
+++ b/src/coordination/prefix_index.hpp
@@ -36,8 +36,8 @@
     prefix_index(std::size_t capacity, state::duration lifetime);
 
     /// Notes that `backend` has (or will have) the blocks in its cache.
-    void
-    stored(state::backend_id const& backend, prefix_hashes const& blocks, state::time_point now);
+    void stored(
+        state::backend_id const& backend, prefix_hashes const& blocks, state::time_point now);
 
     /// Notes that `backend` dropped a block.
     void evicted(state::backend_id const& backend, std::uint64_t block);
--- a/src/coordination/resume_planner.cpp
+++ b/src/coordination/resume_planner.cpp
@@ -35,8 +35,8 @@
 
 } // namespace
 
-resume_plan
-plan_resume(stream_progress const& stream, resume_target const& target, resume_costs const& costs)
+resume_plan plan_resume(
+    stream_progress const& stream, resume_target const& target, resume_costs const& costs)
 {
     if (ends_in_time(stream, costs))
         return continue_in_place{};
--- a/src/coordination/resume_planner.hpp
+++ b/src/coordination/resume_planner.hpp
@@ -62,8 +62,8 @@
 using resume_plan = std::variant<continue_in_place, move_by_export, replay_elsewhere>;
 
 /// Chooses the cheapest way to finish a stream whose backend server goes away.
-resume_plan
-plan_resume(stream_progress const& stream, resume_target const& target, resume_costs const& costs);
+resume_plan plan_resume(
+    stream_progress const& stream, resume_target const& target, resume_costs const& costs);
 
 } // namespace auburnweir::coordination
 
--- a/src/coordination/retry_policy.cpp
+++ b/src/coordination/retry_policy.cpp
@@ -24,8 +24,8 @@
         std::min(budget + settings_.budget_share, std::max(most_saved, settings_.budget_reserve));
 }
 
-retry_decision
-retry_policy::decide(failed_attempt const& attempt, state::time_point now, std::mt19937_64& random)
+retry_decision retry_policy::decide(
+    failed_attempt const& attempt, state::time_point now, std::mt19937_64& random)
 {
     if (attempt.safety == repeat_safety::at_most_once)
         return give_up{state::give_up_reason::not_idempotent};
--- a/src/coordination/retry_policy.hpp
+++ b/src/coordination/retry_policy.hpp
@@ -72,8 +72,8 @@
     void record_request(state::service_id const& service);
 
     /// Decides on a failed attempt; an allowed retry is taken from the budget.
-    retry_decision
-    decide(failed_attempt const& attempt, state::time_point now, std::mt19937_64& random);
+    retry_decision decide(
+        failed_attempt const& attempt, state::time_point now, std::mt19937_64& random);
 
     /// Retries that are allowed at the moment.
     double budget_left(state::service_id const& service) const;
--- a/src/coordination/router.cpp
+++ b/src/coordination/router.cpp
@@ -79,8 +79,8 @@
     state::duration wait;
 };
 
-state::backend_id
-cheapest_near_tie(std::vector<scored> const& all, predicted_first_token const& policy)
+state::backend_id cheapest_near_tie(
+    std::vector<scored> const& all, predicted_first_token const& policy)
 {
     auto const by_wait = [](scored const& a, scored const& b) { return a.wait < b.wait; };
     auto const best = std::min_element(all.begin(), all.end(), by_wait)->wait;
--- /dev/null
+++ b/src/coordination/version_mover.cpp
@@ -0,0 +1,193 @@
+#include "coordination/version_mover.hpp"
+
+#include "coordination/rendezvous.hpp"
+#include "coordination/sequential_test.hpp"
+#include "state/overloaded.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace auburnweir::coordination
+{
+
+namespace
+{
+
+using state::outcome_counts;
+
+/// Old and new counts of one route.
+struct compared_route
+{
+    state::route_id route;
+    outcome_counts old_version;
+    outcome_counts new_version;
+};
+
+std::vector<compared_route> routes_of(
+    state::version_move const& move, state::version_evidence const& evidence)
+{
+    std::map<state::route_id, compared_route> routes;
+    for (auto const& [key, counts] : evidence)
+    {
+        if (key.service != move.service || (key.version != move.from && key.version != move.to))
+            continue;
+        auto& r = routes[key.route];
+        r.route = key.route;
+        (key.version == move.to ? r.new_version : r.old_version).add(counts);
+    }
+    std::vector<compared_route> all;
+    for (auto& [id, r] : routes)
+        all.push_back(std::move(r));
+    return all;
+}
+
+trial_counts failures_of(outcome_counts const& c)
+{
+    return {c.total(), c.failed};
+}
+
+/// The first latency class beyond which at most `share` of the requests lie.
+std::size_t slow_class(outcome_counts const& c, double share)
+{
+    std::uint64_t beyond = 0;
+    for (std::size_t i = state::latency_classes; i > 0; --i)
+    {
+        beyond += c.latency[i - 1];
+        if (static_cast<double>(beyond) > share * static_cast<double>(c.succeeded))
+            return i;
+    }
+    return 0;
+}
+
+trial_counts slower_than(outcome_counts const& c, std::size_t first_class)
+{
+    std::uint64_t slow = 0;
+    for (auto i = first_class; i < state::latency_classes; ++i)
+        slow += c.latency[i];
+    return {c.succeeded, slow};
+}
+
+std::string describe(
+    compared_route const& r, std::string const& measure, trial_counts const& old_counts,
+    trial_counts const& new_counts)
+{
+    return "route " + r.route.str() + ": " + measure + " " + std::to_string(new_counts.events) +
+           " of " + std::to_string(new_counts.trials) + ", before " +
+           std::to_string(old_counts.events) + " of " + std::to_string(old_counts.trials);
+}
+
+} // namespace
+
+double version_mover::share(state::move_state const& current) const
+{
+    return std::visit(
+        state::overloaded{
+            [&](state::move_in_progress const& m)
+            { return settings_.shares[std::min(m.step, settings_.shares.size() - 1)]; },
+            [](state::move_done const&) { return 1.0; },
+            [](state::move_taken_back const&) { return 0.0; }},
+        current);
+}
+
+bool version_mover::goes_to_new(
+    state::request_id const& id, state::version_move const& move,
+    state::move_state const& current) const
+{
+    auto const wanted = share(current);
+    if (wanted >= 1)
+        return true;
+    auto const draw = rendezvous_weight(move.service.str() + "/" + move.to.str(), id.str());
+    return std::ldexp(static_cast<double>(draw), -64) < wanted;
+}
+
+std::optional<std::string> version_mover::evidence_against(
+    state::version_move const& move, state::version_evidence const& evidence) const
+{
+    auto const threshold = std::log(1 / settings_.error_bound);
+    for (auto const& r : routes_of(move, evidence))
+    {
+        auto const old_failures = failures_of(r.old_version);
+        auto const new_failures = failures_of(r.new_version);
+        if (log_evidence_above(new_failures, rate_upper_bound(old_failures)) > threshold)
+            return describe(r, "failed", old_failures, new_failures);
+        if (r.old_version.succeeded < settings_.least_reference)
+            continue;
+        auto const slow = slow_class(r.old_version, settings_.slow_class_share);
+        auto const old_slow = slower_than(r.old_version, slow);
+        auto const new_slow = slower_than(r.new_version, slow);
+        if (log_evidence_above(new_slow, rate_upper_bound(old_slow)) > threshold)
+            return describe(r, "slow", old_slow, new_slow);
+    }
+    return std::nullopt;
+}
+
+bool version_mover::enough_evidence(
+    state::version_move const& move, state::version_evidence const& evidence, double share) const
+{
+    auto const routes = routes_of(move, evidence);
+    std::uint64_t all = 0;
+    std::uint64_t new_requests = 0;
+    for (auto const& r : routes)
+    {
+        all += r.old_version.total() + r.new_version.total();
+        new_requests += r.new_version.total();
+    }
+    if (new_requests < settings_.least_requests)
+        return false;
+    if (share < settings_.route_evidence_share)
+        return true;
+    return std::all_of(
+        routes.begin(), routes.end(),
+        [&](compared_route const& r)
+        {
+            auto const total = r.old_version.total() + r.new_version.total();
+            bool const matters =
+                static_cast<double>(total) >= settings_.route_share * static_cast<double>(all);
+            return !matters || r.new_version.total() >= settings_.least_requests;
+        });
+}
+
+state::duration version_mover::step_length(state::version_move const& move) const
+{
+    // Two steps' worth of time is kept in hand before the deadline.
+    auto const steps = static_cast<std::int64_t>(settings_.shares.size()) + 2;
+    auto const whole = std::chrono::duration_cast<state::duration>(move.deadline - move.begin);
+    return std::max<state::duration>(settings_.least_step, whole / steps);
+}
+
+move_verdict version_mover::judge(
+    state::version_move const& move, state::move_in_progress const& current,
+    state::version_evidence const& evidence, state::wall_time now) const
+{
+    if (auto const against = evidence_against(move, evidence))
+        return take_back{*against};
+    auto const in_step = std::chrono::duration_cast<state::duration>(now - current.since);
+    bool const long_enough = in_step >= step_length(move);
+    if (!long_enough || !enough_evidence(move, evidence, share(current)))
+    {
+        bool const late = now >= move.deadline && !current.undecided;
+        if (late)
+            return report_undecided{};
+        return keep_going{};
+    }
+    if (current.step + 1 < settings_.shares.size())
+        return advance{};
+    return complete{};
+}
+
+std::optional<state::move_state> next_state(
+    state::move_state const& current, state::move_state const& wanted)
+{
+    if (std::holds_alternative<state::move_taken_back>(current))
+        return std::nullopt;
+    if (std::holds_alternative<state::move_taken_back>(wanted))
+        return wanted;
+    auto const* from = std::get_if<state::move_in_progress>(&current);
+    if (!from)
+        return std::nullopt;
+    auto const* to = std::get_if<state::move_in_progress>(&wanted);
+    bool const backwards = to && to->step < from->step;
+    return backwards ? std::nullopt : std::optional{wanted};
+}
+
+} // namespace auburnweir::coordination
--- a/src/coordination/write_placement.cpp
+++ b/src/coordination/write_placement.cpp
@@ -8,8 +8,8 @@
 namespace auburnweir::coordination
 {
 
-std::optional<state::instance>
-write_gatherer(state::row_key const& key, std::vector<state::instance> const& live)
+std::optional<state::instance> write_gatherer(
+    state::row_key const& key, std::vector<state::instance> const& live)
 {
     auto const shards = (live.size() + instances_per_write_shard - 1) / instances_per_write_shard;
     if (shards == 0)
--- a/src/protocol/entry_settings.cpp
+++ b/src/protocol/entry_settings.cpp
@@ -184,8 +184,8 @@
 
 } // namespace
 
-std::optional<entry_settings>
-read_entry_settings(std::string_view text, std::string const& file, state::findings& out)
+std::optional<entry_settings> read_entry_settings(
+    std::string_view text, std::string const& file, state::findings& out)
 {
     auto const document = parse_ini(text, file, out);
     entry_settings result;
--- a/src/protocol/entry_settings.hpp
+++ b/src/protocol/entry_settings.hpp
@@ -52,8 +52,8 @@
 
 /// Reads an `[entry]` text. All findings are appended to `out`.
 /// @return null when there is any finding
-std::optional<entry_settings>
-read_entry_settings(std::string_view text, std::string const& file, state::findings& out);
+std::optional<entry_settings> read_entry_settings(
+    std::string_view text, std::string const& file, state::findings& out);
 
 /// The options with description, default and range, as a Markdown table.
 std::string entry_settings_reference();
--- a/src/protocol/ini_document.cpp
+++ b/src/protocol/ini_document.cpp
@@ -1,7 +1,6 @@
 #include "protocol/ini_document.hpp"
 
 #include <algorithm>
-#include <cstring>
 #include <ini.h>
 
 namespace auburnweir::protocol
@@ -61,7 +60,7 @@
             space == std::string_view::npos ? std::string_view{} : trimmed(title.substr(space));
         r.sections.push_back({std::string{kind}, std::string{name}, r.line, {}});
     }
-    std::memcpy(buffer, line.data(), line.size());
+    std::copy(line.begin(), line.end(), buffer);
     buffer[line.size()] = '\n';
     buffer[line.size() + 1] = '\0';
     return buffer;
--- a/src/protocol/peer_handshake.cpp
+++ b/src/protocol/peer_handshake.cpp
@@ -12,8 +12,8 @@
 using nlohmann::json;
 
 /// A frame `[kind, ...texts]`, or null when it is not of that kind and size.
-std::optional<std::vector<std::string>>
-read_frame(std::string_view frame, std::string_view kind, std::size_t texts)
+std::optional<std::vector<std::string>> read_frame(
+    std::string_view frame, std::string_view kind, std::size_t texts)
 {
     auto const list = json::from_cbor(frame.begin(), frame.end(), true, false);
     if (!list.is_array() || list.size() != texts + 1)
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -16,7 +16,7 @@
 enum class message_kind : int
 {
     journal_open = 1,
-    journal_append = 2,
+    journal_batch = 2,
     journal_ack = 3,
     journal_read = 4,
     journal_reply = 5,
@@ -38,6 +38,7 @@
 };
 
 constexpr int not_finished = -1;
+constexpr int read_recently_flag = 16; ///< added to an ack's status
 
 /// Thrown inside this file when a message is not as it should be.
 struct malformed
@@ -175,18 +176,20 @@
 json encode_one(journal_open const& m)
 {
     auto out = array_of(message_kind::journal_open);
-    out.push_back(m.number.count());
     out.push_back(encode_stored_chat(m.request));
     append_lineage(out, m.lineage);
     return out;
 }
 
-json encode_one(journal_append const& m)
+json encode_one(journal_batch const& m)
 {
-    auto out = array_of(message_kind::journal_append);
+    auto out = array_of(message_kind::journal_batch);
     out.push_back(m.number.count());
-    append_key(out, m.key);
-    append_part(out, m.part);
+    for (auto const& append : m.appends)
+    {
+        append_key(out, append.key);
+        append_part(out, append.part);
+    }
     return out;
 }
 
@@ -194,8 +197,8 @@
 {
     auto out = array_of(message_kind::journal_ack);
     out.push_back(m.number.count());
-    out.push_back(static_cast<int>(m.status));
-    out.push_back(m.read_recently);
+    for (auto const& ack : m.appends)
+        out.push_back(static_cast<int>(ack.status) + (ack.read_recently ? read_recently_flag : 0));
     return out;
 }
 
@@ -309,26 +312,34 @@
 
 journal_open read_open(element_reader& in)
 {
-    correlation const number{in.number()};
     auto request = decode_stored_chat(in.text());
     require(request.has_value(), "journal_open without a request");
-    return {std::move(request.value()), read_lineage(in), number};
+    return {std::move(request.value()), read_lineage(in)};
 }
 
-journal_append read_append(element_reader& in)
+journal_batch read_batch(element_reader& in)
 {
-    correlation const number{in.number()};
-    auto key = read_key(in);
-    return {std::move(key), read_part(in), number};
+    journal_batch batch{{}, correlation{in.number()}};
+    while (!in.at_end())
+    {
+        auto key = read_key(in);
+        batch.appends.push_back({std::move(key), read_part(in)});
+    }
+    return batch;
 }
 
 journal_ack read_ack(element_reader& in)
 {
-    correlation const number{in.number()};
-    auto const status = in.integer();
-    require(
-        status >= 0 && status <= static_cast<int>(ack_status::superseded), "unknown ack status");
-    return {number, static_cast<ack_status>(status), in.flag()};
+    journal_ack ack{{}, correlation{in.number()}};
+    while (!in.at_end())
+    {
+        auto const value = in.integer();
+        auto const status = value % read_recently_flag;
+        require(
+            value >= 0 && status <= static_cast<int>(ack_status::superseded), "unknown ack status");
+        ack.appends.push_back({static_cast<ack_status>(status), value >= read_recently_flag});
+    }
+    return ack;
 }
 
 journal_read read_read(element_reader& in)
@@ -375,8 +386,8 @@
     {
     case message_kind::journal_open:
         return read_open(in);
-    case message_kind::journal_append:
-        return read_append(in);
+    case message_kind::journal_batch:
+        return read_batch(in);
     case message_kind::journal_ack:
         return read_ack(in);
     case message_kind::journal_read:
--- a/src/protocol/peer_message.hpp
+++ b/src/protocol/peer_message.hpp
@@ -27,19 +27,25 @@
     state::request_id id;
 };
 
-/// The sender owns a request; the receiver keeps a replica of its journal.
+/// The sender owns a request; the receiver keeps a replica of its journal. Not answered: the ack
+/// of the first tokens tells.
 struct journal_open
 {
     state::chat_request request;
     state::generation_lineage lineage;
-    correlation number;
 };
 
-/// Tokens for a replica.
+/// Tokens of one answer for a replica.
 struct journal_append
 {
     journal_key key;
     state::journal_part part;
+};
+
+/// Tokens of several answers, answered by one ack.
+struct journal_batch
+{
+    std::vector<journal_append> appends;
     correlation number;
 };
 
@@ -50,14 +56,20 @@
     superseded ///< another instance drives the request now
 };
 
-/// What became of the journal message with this number.
-struct journal_ack
+/// What became of one `journal_append`.
+struct append_ack
 {
-    correlation number;
     ack_status status = ack_status::accepted;
     bool read_recently = false; ///< a caller reads the answer through the replica
 };
 
+/// What became of a `journal_batch`, in its order.
+struct journal_ack
+{
+    std::vector<append_ack> appends;
+    correlation number;
+};
+
 /// Asks for a journal's tokens after `after`.
 struct journal_read
 {
@@ -113,7 +125,7 @@
 };
 
 using peer_message = std::variant<
-    journal_open, journal_append, journal_ack, journal_read, journal_reply, journal_handover,
+    journal_open, journal_batch, journal_ack, journal_read, journal_reply, journal_handover,
     backend_leaving, grouped_write, grouped_result, peer_ping, peer_pong>;
 
 /// Encodes messages as one frame.
--- a/src/protocol/record_codec.cpp
+++ b/src/protocol/record_codec.cpp
@@ -131,8 +131,8 @@
     return state::row_key{"ledger/" + organisation.str() + "/" + service.str() + "/" + key.str()};
 }
 
-state::row_key
-review_done_key(state::organisation_id const& organisation, state::request_id const& id)
+state::row_key review_done_key(
+    state::organisation_id const& organisation, state::request_id const& id)
 {
     return state::row_key{"review-done/" + organisation.str() + "/" + id.str()};
 }
--- a/src/protocol/record_codec.hpp
+++ b/src/protocol/record_codec.hpp
@@ -28,8 +28,8 @@
 constexpr std::string_view review_key_prefix = "review/";
 
 /// Key of a finished deferrable request's row.
-state::row_key
-review_done_key(state::organisation_id const& organisation, state::request_id const& id);
+state::row_key review_done_key(
+    state::organisation_id const& organisation, state::request_id const& id);
 
 /// Key of a deferrable request's row.
 state::row_key review_key(state::organisation_id const& organisation, state::request_id const& id);
--- a/src/protocol/service_text.cpp
+++ b/src/protocol/service_text.cpp
@@ -244,8 +244,8 @@
 
 } // namespace
 
-state::configuration_ptr
-read_service_text(std::string_view text, std::string const& file, state::findings& out)
+state::configuration_ptr read_service_text(
+    std::string_view text, std::string const& file, state::findings& out)
 {
     auto const document = parse_ini(text, file, out);
     text_reader reader(file, out);
--- a/src/protocol/service_text.hpp
+++ b/src/protocol/service_text.hpp
@@ -15,8 +15,8 @@
 /// All findings of the text are appended to `out`; any finding means that nothing is taken.
 /// @param file  name for findings
 /// @return null when there is any finding
-state::configuration_ptr
-read_service_text(std::string_view text, std::string const& file, state::findings& out);
+state::configuration_ptr read_service_text(
+    std::string_view text, std::string const& file, state::findings& out);
 
 /// The sections and keys of the text with description, default and range, as Markdown tables.
 std::string service_text_reference();
--- a/src/state/journal.cpp
+++ b/src/state/journal.cpp
@@ -267,26 +267,29 @@
 {
     ranked_lock lock(mutex_);
     auto const key = next_listener_++;
-    listeners_.emplace_back(key, std::move(on_change));
+    auto next = *listeners_;
+    next.emplace_back(key, std::move(on_change));
+    listeners_ = std::make_shared<listener_list const>(std::move(next));
     return key;
 }
 
 void journal::unlisten(std::uint64_t key)
 {
     ranked_lock lock(mutex_);
-    std::erase_if(listeners_, [&](auto const& l) { return l.first == key; });
+    auto next = *listeners_;
+    std::erase_if(next, [&](auto const& l) { return l.first == key; });
+    listeners_ = std::make_shared<listener_list const>(std::move(next));
 }
 
 void journal::notify()
 {
-    std::vector<listener> to_call;
+    std::shared_ptr<listener_list const> to_call;
     {
         ranked_lock lock(mutex_);
-        for (auto const& [key, f] : listeners_)
-            to_call.push_back(f);
+        to_call = listeners_;
     }
-    for (auto const& f : to_call)
-        f();
+    for (auto const& [key, on_change] : *to_call)
+        on_change();
 }
 
 std::size_t journal_table::key_hash::operator()(key const& k) const
--- a/src/state/journal.hpp
+++ b/src/state/journal.hpp
@@ -171,7 +171,8 @@
     std::size_t released_ = 0; ///< tokens that readers may see while held
     std::uint64_t delivered_ = 0;
     time_point last_read_{};
-    std::vector<std::pair<std::uint64_t, listener>> listeners_;
+    using listener_list = std::vector<std::pair<std::uint64_t, listener>>;
+    std::shared_ptr<listener_list const> listeners_ = std::make_shared<listener_list const>();
     std::uint64_t next_listener_ = 1;
 };
 
--- /dev/null
+++ b/src/state/lease_record.hpp
@@ -0,0 +1,22 @@
+#ifndef AUBURNWEIR_STATE_LEASE_RECORD_HPP
+#define AUBURNWEIR_STATE_LEASE_RECORD_HPP
+
+#include "state/ids.hpp"
+#include "state/time.hpp"
+
+namespace auburnweir::state
+{
+
+/// Row of the lease under which one instance gives orders to a service's backend servers.
+struct lease_record
+{
+    instance_id holder;
+    fencing_number fencing; ///< grows by one with each change of holder
+    wall_time until;
+
+    friend bool operator==(lease_record const&, lease_record const&) = default;
+};
+
+} // namespace auburnweir::state
+
+#endif
--- a/src/transport/admission_gate.cpp
+++ b/src/transport/admission_gate.cpp
@@ -40,8 +40,8 @@
         gate_->release(service_, ticket_);
 }
 
-admission_gate::service_queue&
-admission_gate::queue_of(state::service_id const& service, std::int64_t queue_limit)
+admission_gate::service_queue& admission_gate::queue_of(
+    state::service_id const& service, std::int64_t queue_limit)
 {
     auto& q = queues_[service];
     if (!q)
@@ -71,18 +71,24 @@
         me->decided = std::make_shared<async_signal>(io);
         q.waiters[ticket.count()] = me;
     }
+    waiter_scope const waiting(*this, service, ticket);
     auto const limit = request.deadline ? *request.deadline - now() : longest_wait;
     co_await me->decided->wait(limit);
 
     state::ranked_lock lock(mutex_);
     auto& q = queue_of(service, queue_limit);
-    q.waiters.erase(ticket.count());
     if (me->admitted)
         co_return admission_slot{*this, service, ticket};
     q.queue.withdraw(ticket);
     co_return coordination::refused{state::refusal_reason::deadline_exceeded, queue_full_retry};
 }
 
+admission_gate::waiter_scope::~waiter_scope()
+{
+    state::ranked_lock lock(gate_.mutex_);
+    gate_.queues_.at(service_)->waiters.erase(ticket_.count());
+}
+
 void admission_gate::apply(service_queue& q, coordination::admission_changes const& changes)
 {
     for (auto const ticket : changes.admitted)
--- a/src/transport/admission_gate.hpp
+++ b/src/transport/admission_gate.hpp
@@ -78,6 +78,27 @@
         std::unordered_map<std::uint64_t, waiter_ptr> waiters;
     };
 
+    /// Forgets a waiter when its coroutine ends, also by the end of its worker.
+    class waiter_scope
+    {
+    public:
+        waiter_scope(
+            admission_gate& gate, state::service_id service, coordination::ticket_number ticket)
+            : gate_(gate)
+            , service_(std::move(service))
+            , ticket_(ticket)
+        {
+        }
+        waiter_scope(waiter_scope const&) = delete;
+        waiter_scope& operator=(waiter_scope const&) = delete;
+        ~waiter_scope();
+
+    private:
+        admission_gate& gate_;
+        state::service_id service_;
+        coordination::ticket_number ticket_;
+    };
+
     service_queue& queue_of(state::service_id const& service, std::int64_t queue_limit);
     void release(state::service_id const& service, coordination::ticket_number ticket);
     static void apply(service_queue& q, coordination::admission_changes const& changes);
--- a/src/transport/answer_handler.cpp
+++ b/src/transport/answer_handler.cpp
@@ -16,14 +16,14 @@
 constexpr state::duration review_retry = std::chrono::seconds{2};
 constexpr int most_failed_reads = 100;
 
-protocol::problem
-problem_for(state::refusal_reason reason, state::request_id const& id, std::string detail)
+protocol::problem problem_for(
+    state::refusal_reason reason, state::request_id const& id, std::string detail)
 {
     return {reason, state::run_outcome::outcome_unknown, std::move(detail), id, {}};
 }
 
-net::awaitable<std::optional<protocol::journal_reply>>
-read_at(caller_call& call, state::instance peer, state::request_id id, state::sequence_number after)
+net::awaitable<std::optional<protocol::journal_reply>> read_at(
+    caller_call& call, state::instance peer, state::request_id id, state::sequence_number after)
 {
     protocol::journal_key const key{call.organisation.id, id};
     auto const make = [&](protocol::correlation number) {
--- a/src/transport/answer_stream.cpp
+++ b/src/transport/answer_stream.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/chat_codec.hpp"
 #include "transport/clock.hpp"
+#include "transport/journal_watch.hpp"
 
 namespace auburnweir::transport
 {
@@ -12,30 +13,6 @@
 constexpr std::size_t tokens_per_part = 64;
 constexpr state::duration presence_period = std::chrono::milliseconds{500};
 
-/// Wakes a coroutine when a journal changes.
-class journal_watch
-{
-public:
-    journal_watch(net::io_context& io, state::journal_ptr journal)
-        : journal_(std::move(journal))
-        , changed_(std::make_shared<async_signal>(io))
-        , key_(journal_->listen([changed = changed_] { changed->notify(); }))
-    {
-    }
-
-    journal_watch(journal_watch const&) = delete;
-    journal_watch& operator=(journal_watch const&) = delete;
-
-    ~journal_watch() { journal_->unlisten(key_); }
-
-    net::awaitable<bool> wait() { return changed_->wait(presence_period); }
-
-private:
-    state::journal_ptr journal_;
-    signal_ptr changed_;
-    std::uint64_t key_;
-};
-
 bool has_news(state::journal_part const& part)
 {
     return !part.tokens.empty() || part.finish;
@@ -52,7 +29,7 @@
         auto part = journal->read_after(after, tokens_per_part);
         if (has_news(part))
             co_return part;
-        bool const changed = co_await watch.wait();
+        bool const changed = co_await watch.wait(presence_period);
         if (!changed && call.writer.caller_has_left())
             co_return std::nullopt;
     }
@@ -81,8 +58,8 @@
 
 } // namespace
 
-net::awaitable<bool>
-stream_answer(caller_call& call, state::journal_ptr journal, state::resume_point from)
+net::awaitable<bool> stream_answer(
+    caller_call& call, state::journal_ptr journal, state::resume_point from)
 {
     journal_watch watch(call.home.io(), journal);
     auto& counters = call.context.tables.counters;
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -55,35 +55,6 @@
     return refusal_reason::malformed_request;
 }
 
-/// Interrupts a stream's operation after a time and leaves the stream open, so that the caller
-/// can still be told. The stream's own timeout would close it.
-class read_limit
-{
-public:
-    read_limit(beast::tcp_stream& stream, state::duration length)
-        : timer_(stream.get_executor())
-        , passed_(std::make_shared<bool>(false))
-    {
-        stream.expires_never();
-        timer_.expires_after(length);
-        timer_.async_wait(
-            [&stream, passed = passed_](error_code fault)
-            {
-                bool const owner_gone = passed.use_count() == 1;
-                if (fault || owner_gone)
-                    return;
-                *passed = true;
-                stream.cancel();
-            });
-    }
-
-    bool passed() const { return *passed_; }
-
-private:
-    net::steady_timer timer_;
-    std::shared_ptr<bool> passed_;
-};
-
 /// The other side closed or reset the connection: there is nobody to answer.
 bool is_gone(error_code const& fault)
 {
@@ -107,6 +78,7 @@
     , stream_(std::move(socket))
     , buffer_(static_cast<std::size_t>(context.settings.header_limit + context.settings.body_limit))
     , writer_(stream_, context.settings.write_timeout)
+    , read_limit_(stream_)
 {
 }
 
@@ -140,13 +112,11 @@
     parser.header_limit(static_cast<std::uint32_t>(context_.settings.header_limit));
     parser.body_limit(static_cast<std::uint64_t>(context_.settings.body_limit));
     error_code fault;
-    {
-        read_limit const limit(stream_, context_.settings.header_timeout);
-        co_await http::async_read_header(stream_, buffer_, parser, into(fault));
-        bool const idle = buffer_.size() == 0 && !parser.got_some();
-        if (limit.passed())
-            fault = idle ? error_code{net::error::operation_aborted} : beast::error::timeout;
-    }
+    read_limit_.begin(context_.settings.header_timeout);
+    co_await http::async_read_header(stream_, buffer_, parser, into(fault));
+    bool const idle = buffer_.size() == 0 && !parser.got_some();
+    if (read_limit_.end())
+        fault = idle ? error_code{net::error::operation_aborted} : beast::error::timeout;
     if (fault)
         co_return co_await refuse_unread(fault);
     if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
@@ -154,12 +124,10 @@
         http::response<http::empty_body> go_on{http::status::continue_, 11};
         co_await http::async_write(stream_, go_on, into(fault));
     }
-    {
-        read_limit const limit(stream_, context_.settings.body_timeout);
-        co_await http::async_read(stream_, buffer_, parser, into(fault));
-        if (limit.passed())
-            fault = beast::error::timeout;
-    }
+    read_limit_.begin(context_.settings.body_timeout);
+    co_await http::async_read(stream_, buffer_, parser, into(fault));
+    if (read_limit_.end())
+        fault = beast::error::timeout;
     if (fault)
         co_return co_await refuse_unread(fault);
     auto incoming = parser.release();
--- a/src/transport/caller_connection.hpp
+++ b/src/transport/caller_connection.hpp
@@ -24,8 +24,8 @@
     net::awaitable<bool> serve_one();
     net::awaitable<bool> refuse_unread(error_code fault);
     net::awaitable<bool> dispatch(request incoming);
-    net::awaitable<bool>
-    dispatch_call(request incoming, protocol::call_route route, protocol::call_head head);
+    net::awaitable<bool> dispatch_call(
+        request incoming, protocol::call_route route, protocol::call_head head);
     net::awaitable<bool> send_problem(protocol::problem p);
     net::awaitable<bool> send_text(int status, std::string text);
     std::string metrics_text() const;
@@ -35,6 +35,7 @@
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
     reply_writer writer_;
+    io_limit read_limit_;
 };
 
 } // namespace auburnweir::transport
--- a/src/transport/chat_driver.cpp
+++ b/src/transport/chat_driver.cpp
@@ -5,6 +5,7 @@
 #include "protocol/engine_codec.hpp"
 #include "state/overloaded.hpp"
 #include "transport/clock.hpp"
+#include "transport/journal_watch.hpp"
 #include "transport/log.hpp"
 
 namespace auburnweir::transport
@@ -189,8 +190,8 @@
         state::event_counter::tokens_recomputed, static_cast<std::uint64_t>((held - hit).count()));
 }
 
-net::awaitable<bool>
-chat_driver::after_failure(state::backend_view backend, state::retry_reason reason)
+net::awaitable<bool> chat_driver::after_failure(
+    state::backend_view backend, state::retry_reason reason)
 {
     auto& tables = context_.tables;
     tables.counters.increment(reason);
@@ -269,8 +270,8 @@
 }
 
 /// `attempt_finished` here means that the answer may be read.
-chat_driver::attempt_outcome
-chat_driver::classify_status(state::backend_view const& backend, http_stream const& stream)
+chat_driver::attempt_outcome chat_driver::classify_status(
+    state::backend_view const& backend, http_stream const& stream)
 {
     auto const status = stream.status();
     if (status == http_ok)
@@ -320,8 +321,8 @@
     }
 }
 
-std::optional<chat_driver::attempt_outcome>
-chat_driver::take_events(protocol::sse_parser& parser, state::attempt_token const& token)
+std::optional<chat_driver::attempt_outcome> chat_driver::take_events(
+    protocol::sse_parser& parser, state::attempt_token const& token)
 {
     while (auto const data = parser.next())
     {
@@ -446,12 +447,10 @@
 
 net::awaitable<void> chat_driver::wait_for_reader()
 {
-    auto const signal = std::make_shared<async_signal>(home_.io());
-    auto const key = journal_->listen([signal] { signal->notify(); });
+    journal_watch watch(home_.io(), journal_);
     while (journal_->undelivered() > most_undelivered_tokens / 2 && !abandoned() &&
            !past_deadline() && !taken_over())
-        co_await signal->wait(reader_pause);
-    journal_->unlisten(key);
+        co_await watch.wait(reader_pause);
 }
 
 } // namespace auburnweir::transport
--- a/src/transport/chat_driver.hpp
+++ b/src/transport/chat_driver.hpp
@@ -57,14 +57,14 @@
     std::optional<state::backend_view> choose_backend();
     net::awaitable<bool> next_attempt(state::backend_view backend);
     net::awaitable<attempt_outcome> run_attempt(state::backend_view backend);
-    net::awaitable<attempt_outcome>
-    read_answer(state::backend_view backend, http_stream& stream, state::attempt_token token);
-    std::optional<attempt_outcome>
-    take_events(protocol::sse_parser& parser, state::attempt_token const& token);
-    net::awaitable<std::optional<attempt_outcome>>
-    check_progress(state::backend_view backend, state::attempt_token token, http_stream& stream);
-    net::awaitable<std::optional<std::string>>
-    export_cache(state::backend_view backend, state::attempt_token token, http_stream& stream);
+    net::awaitable<attempt_outcome> read_answer(
+        state::backend_view backend, http_stream& stream, state::attempt_token token);
+    std::optional<attempt_outcome> take_events(
+        protocol::sse_parser& parser, state::attempt_token const& token);
+    net::awaitable<std::optional<attempt_outcome>> check_progress(
+        state::backend_view backend, state::attempt_token token, http_stream& stream);
+    net::awaitable<std::optional<std::string>> export_cache(
+        state::backend_view backend, state::attempt_token token, http_stream& stream);
     net::awaitable<bool> after_failure(state::backend_view backend, state::retry_reason reason);
     net::awaitable<void> wait_for_reader();
 
--- a/src/transport/chat_handler.cpp
+++ b/src/transport/chat_handler.cpp
@@ -21,8 +21,8 @@
     return head.id.empty() ? state::request_id{protocol::random_hex(request_id_bytes)} : head.id;
 }
 
-coordination::admission_request
-admission_of(caller_call const& call, state::chat_request const& request)
+coordination::admission_request admission_of(
+    caller_call const& call, state::chat_request const& request)
 {
     coordination::admission_request admission;
     admission.organisation = call.organisation.id;
@@ -34,8 +34,8 @@
 }
 
 /// Fills in what the body does not say. @return a problem when the service is no engine service
-std::optional<protocol::problem>
-complete_request(caller_call const& call, state::chat_request& request)
+std::optional<protocol::problem> complete_request(
+    caller_call const& call, state::chat_request& request)
 {
     auto& header = request.header;
     header.id = chosen_id(call.head);
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,5 +1,7 @@
 #include "transport/http_client.hpp"
 
+#include "transport/io_limit.hpp"
+
 namespace auburnweir::transport
 {
 
@@ -17,9 +19,9 @@
     return net::redirect_error(net::use_awaitable, fault);
 }
 
-http_fault fault_of(error_code const& fault)
+http_fault lost_by(bool interrupted)
 {
-    return fault == beast::error::timeout ? http_fault::timed_out : http_fault::lost;
+    return interrupted ? http_fault::timed_out : http_fault::lost;
 }
 
 } // namespace
@@ -30,6 +32,7 @@
         : stream(io)
         , address(std::move(to))
         , buffer(header_limit_bytes + read_buffer_bytes)
+        , limit(stream)
     {
     }
 
@@ -45,6 +48,7 @@
     beast::tcp_stream stream;
     state::endpoint address;
     beast::flat_buffer buffer;
+    io_limit limit;
 };
 
 struct http_stream::state
@@ -101,14 +105,15 @@
     auto& body = s.parser.get().body();
     body.data = s.bytes.data();
     body.size = s.bytes.size();
-    s.connection->stream.expires_after(limit);
+    s.connection->limit.begin(limit);
     error_code fault;
     co_await http::async_read_some(
         s.connection->stream, s.connection->buffer, s.parser, into(fault));
+    bool const interrupted = s.connection->limit.end();
     if (fault == http::error::need_buffer)
         fault = {};
     if (fault)
-        co_return fault_of(fault);
+        co_return lost_by(interrupted);
     auto const got = s.bytes.size() - s.parser.get().body().size;
     if (got > 0)
         co_return std::string_view{s.bytes.data(), got};
@@ -119,8 +124,8 @@
     co_return std::string_view{};
 }
 
-net::awaitable<http_result<std::string>>
-http_stream::read_rest(std::size_t most, auburnweir::state::duration limit)
+net::awaitable<http_result<std::string>> http_stream::read_rest(
+    std::size_t most, auburnweir::state::duration limit)
 {
     std::string all;
     for (;;)
@@ -160,31 +165,31 @@
 
 void http_client::keep(connection_ptr c)
 {
-    c->stream.expires_never();
     c->buffer.consume(c->buffer.size());
     auto& list = kept_[c->address];
     if (list.size() < most_kept_per_endpoint)
         list.push_back(std::move(c));
 }
 
-net::awaitable<http_result<http_client::connection_ptr>>
-http_client::connect(state::endpoint to, state::duration limit)
+net::awaitable<http_result<http_client::connection_ptr>> http_client::connect(
+    state::endpoint to, state::duration limit)
 {
     auto c = std::make_unique<connection>(io_, to);
     error_code fault;
     tcp::endpoint const address{net::ip::make_address(to.host, fault), to.port};
     if (fault)
         co_return http_fault::connect_failed;
-    c->stream.expires_after(limit);
+    c->limit.begin(limit);
     co_await c->stream.async_connect(address, into(fault));
+    c->limit.end();
     if (fault)
         co_return http_fault::connect_failed;
     c->stream.socket().set_option(tcp::no_delay(true), fault);
     co_return std::move(c);
 }
 
-net::awaitable<http_result<http_stream>>
-http_client::open(state::endpoint to, http_call what, state::duration limit, connection_use use)
+net::awaitable<http_result<http_stream>> http_client::open(
+    state::endpoint to, http_call what, state::duration limit, connection_use use)
 {
     auto c = use == connection_use::kept ? take_kept(to) : nullptr;
     if (!c)
@@ -203,21 +208,22 @@
         request.set(name, value);
     request.prepare_payload();
 
-    c->stream.expires_after(limit);
+    c->limit.begin(limit);
     error_code fault;
     co_await http::async_write(c->stream, request, into(fault));
     if (fault)
-        co_return fault_of(fault);
+        co_return lost_by(c->limit.end());
     auto s = std::make_unique<http_stream::state>(*this, std::move(c));
     co_await http::async_read_header(
         s->connection->stream, s->connection->buffer, s->parser, into(fault));
+    bool const interrupted = s->connection->limit.end();
     if (fault)
-        co_return fault_of(fault);
+        co_return lost_by(interrupted);
     co_return http_stream{std::move(s)};
 }
 
-net::awaitable<http_result<http_reply>>
-http_client::call(state::endpoint to, http_call what, state::duration limit, connection_use use)
+net::awaitable<http_result<http_reply>> http_client::call(
+    state::endpoint to, http_call what, state::duration limit, connection_use use)
 {
     auto opened = co_await open(std::move(to), std::move(what), limit, use);
     if (!opened)
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -74,8 +74,8 @@
     net::awaitable<http_result<std::string_view>> read(auburnweir::state::duration limit);
 
     /// Reads the rest as one text of at most `most` bytes.
-    net::awaitable<http_result<std::string>>
-    read_rest(std::size_t most, auburnweir::state::duration limit);
+    net::awaitable<http_result<std::string>> read_rest(
+        std::size_t most, auburnweir::state::duration limit);
 
 private:
     std::unique_ptr<state> state_;
@@ -103,8 +103,8 @@
     struct connection;
     using connection_ptr = std::unique_ptr<connection>;
 
-    net::awaitable<http_result<connection_ptr>>
-    connect(auburnweir::state::endpoint to, auburnweir::state::duration limit);
+    net::awaitable<http_result<connection_ptr>> connect(
+        auburnweir::state::endpoint to, auburnweir::state::duration limit);
     connection_ptr take_kept(auburnweir::state::endpoint const& to);
     void keep(connection_ptr c);
 
--- a/src/transport/journal_replicator.cpp
+++ b/src/transport/journal_replicator.cpp
@@ -10,10 +10,8 @@
 namespace
 {
 
-constexpr state::duration open_limit = std::chrono::milliseconds{500};
-constexpr state::duration append_limit = std::chrono::milliseconds{500};
+constexpr state::duration read_limit = std::chrono::milliseconds{500};
 constexpr state::duration follow_period = std::chrono::milliseconds{30};
-constexpr state::duration idle_period = std::chrono::seconds{1};
 constexpr std::size_t most_replicas_tried = 4;
 constexpr int most_failed_reads = 100;
 
@@ -24,7 +22,6 @@
     : context_(context)
     , home_(home)
     , journal_(std::move(journal))
-    , changed_(std::make_shared<async_signal>(home.io()))
 {
 }
 
@@ -43,82 +40,35 @@
 
 net::awaitable<void> journal_replicator::run()
 {
-    auto const listening = journal_->listen([changed = changed_] { changed->notify(); });
     auto const order = coordination::replica_order(
         journal_->request().header.id, context_.self, context_.tables.instances.live());
-    auto result = feed_result::replica_lost;
+    auto end = feed_end::replica_lost;
     for (std::size_t i = 0; i < std::min(order.size(), most_replicas_tried); ++i)
     {
-        auto const opened = co_await open_at(order[i]);
-        if (opened == protocol::ack_status::accepted)
-            result = co_await feed(order[i]);
-        else if (opened == protocol::ack_status::superseded)
-            result = feed_result::superseded;
-        if (result == feed_result::superseded)
+        end = co_await feed(order[i]);
+        if (end == feed_end::superseded)
             co_await follow(order[i]);
-        if (result != feed_result::replica_lost)
+        if (end != feed_end::replica_lost)
             break;
     }
-    if (result == feed_result::replica_lost)
+    if (end == feed_end::replica_lost)
     {
         context_.tables.counters.increment(state::event_counter::journals_unreplicated);
         if (!order.empty())
             log(log_event::journal_unreplicated, {{"request", key().id.str()}});
     }
     journal_->release_all();
-    journal_->unlisten(listening);
 }
 
-net::awaitable<protocol::ack_status> journal_replicator::open_at(state::instance replica)
+net::awaitable<feed_end> journal_replicator::feed(state::instance replica)
 {
-    sent_ = state::sequence_number{0};
-    auto const make = [this](protocol::correlation number)
-    {
-        return protocol::peer_message{
-            protocol::journal_open{journal_->request(), journal_->lineage(), number}};
-    };
-    auto const answer = co_await context_.peers.ask(home_.io(), replica, make, open_limit);
-    auto const* ack = answer ? std::get_if<protocol::journal_ack>(&*answer) : nullptr;
-    co_return ack ? ack->status : protocol::ack_status::unknown;
-}
-
-net::awaitable<std::optional<protocol::journal_ack>>
-journal_replicator::append_at(state::instance replica, state::journal_part part)
-{
-    auto const make = [this, &part](protocol::correlation number) {
-        return protocol::peer_message{protocol::journal_append{key(), part, number}};
-    };
-    auto const first_limit = context_.settings.replica_wait;
-    auto const answer = co_await context_.peers.ask(
-        home_.io(), replica, make, std::max<state::duration>(append_limit, first_limit));
-    if (!answer)
-        co_return std::nullopt;
-    auto const* ack = std::get_if<protocol::journal_ack>(&*answer);
-    co_return ack ? std::optional{*ack} : std::nullopt;
-}
-
-net::awaitable<journal_replicator::feed_result> journal_replicator::feed(state::instance replica)
-{
-    for (;;)
-    {
-        auto const part = journal_->read_unreleased_after(sent_);
-        if (part.tokens.empty() && !part.finish)
-        {
-            co_await changed_->wait(idle_period);
-            continue;
-        }
-        auto const ack = co_await append_at(replica, part);
-        if (!ack || ack->status == protocol::ack_status::unknown)
-            co_return feed_result::replica_lost;
-        if (ack->status == protocol::ack_status::superseded)
-            co_return feed_result::superseded;
-        sent_ = sent_ + state::sequence_number{part.tokens.size()};
-        journal_->release(sent_);
-        if (ack->read_recently)
-            journal_->touch(now());
-        if (part.finish)
-            co_return feed_result::finished;
-    }
+    context_.peers.send(replica, protocol::journal_open{journal_->request(), journal_->lineage()});
+    auto const feed = home_.feeds().feed_to(context_, home_, replica);
+    auto const fed = feed->attach(journal_);
+    journal_subscription const subscription(
+        journal_,
+        [&io = home_.io(), feed, fed] { net::dispatch(io, [feed, fed] { feed->changed(fed); }); });
+    co_return co_await fed->wait_for_end();
 }
 
 net::awaitable<void> journal_replicator::follow(state::instance driver)
@@ -131,7 +81,7 @@
         auto const make = [&](protocol::correlation number) {
             return protocol::peer_message{protocol::journal_read{key(), after, number}};
         };
-        auto const answer = co_await context_.peers.ask(home_.io(), driver, make, open_limit);
+        auto const answer = co_await context_.peers.ask(home_.io(), driver, make, read_limit);
         auto const* reply = answer ? std::get_if<protocol::journal_reply>(&*answer) : nullptr;
         bool const read = reply && reply->part;
         if (read)
--- a/src/transport/journal_replicator.hpp
+++ b/src/transport/journal_replicator.hpp
@@ -2,6 +2,7 @@
 #define AUBURNWEIR_TRANSPORT_JOURNAL_REPLICATOR_HPP
 
 #include "transport/entry_context.hpp"
+#include "transport/replica_feed.hpp"
 
 #include <memory>
 
@@ -23,26 +24,16 @@
     void start();
 
 private:
-    enum class feed_result
-    {
-        finished,
-        replica_lost,
-        superseded
-    };
-
     net::awaitable<void> run();
-    net::awaitable<protocol::ack_status> open_at(state::instance replica);
-    net::awaitable<feed_result> feed(state::instance replica);
+    net::awaitable<feed_end> feed(state::instance replica);
     net::awaitable<void> follow(state::instance driver);
-    net::awaitable<std::optional<protocol::journal_ack>>
-    append_at(state::instance replica, state::journal_part part);
+    net::awaitable<std::optional<protocol::journal_ack>> append_at(
+        state::instance replica, state::journal_part part);
     protocol::journal_key key() const;
 
     entry_context& context_;
     worker& home_;
     state::journal_ptr journal_;
-    signal_ptr changed_;
-    state::sequence_number sent_;
 };
 
 } // namespace auburnweir::transport
--- a/src/transport/ledger_store.cpp
+++ b/src/transport/ledger_store.cpp
@@ -51,8 +51,8 @@
     co_return co_await platform.read(std::move(key));
 }
 
-net::awaitable<state::write_result>
-ledger_store::write_locally(worker& from, state::table_write what)
+net::awaitable<state::write_result> ledger_store::write_locally(
+    worker& from, state::table_write what)
 {
     auto pending = std::make_shared<pending_result>();
     pending->ready = std::make_shared<async_signal>(from.io());
--- a/src/transport/operation_caller.cpp
+++ b/src/transport/operation_caller.cpp
@@ -92,8 +92,8 @@
     }
 }
 
-net::awaitable<operation_caller::attempt_result>
-operation_caller::attempt(state::backend_view backend, bool idempotent)
+net::awaitable<operation_caller::attempt_result> operation_caller::attempt(
+    state::backend_view backend, bool idempotent)
 {
     auto const config = context_.tables.configuration.current();
     auto const* server = config->find(backend.id);
@@ -134,8 +134,8 @@
     co_return attempt_result{coordination::backend_lost{}, state::retry_reason::stream_cut};
 }
 
-operation_caller::attempt_result
-operation_caller::read_reply(state::backend_view const& backend, http_reply& reply, bool idempotent)
+operation_caller::attempt_result operation_caller::read_reply(
+    state::backend_view const& backend, http_reply& reply, bool idempotent)
 {
     if (protocol::says_leaving(text_of(reply.headers, "X-Engine-State")))
         context_.mark_leaving(backend.id, std::nullopt, home_.random());
--- a/src/transport/operation_handler.cpp
+++ b/src/transport/operation_handler.cpp
@@ -81,8 +81,8 @@
 
 /// Brings a row of ours to `wanted` in the background: frees a key that did not run, or records
 /// an answer that was returned before it could be written.
-net::awaitable<void>
-settle_row(entry_context& context, worker& home, state::row_key key, state::ledger_record wanted)
+net::awaitable<void> settle_row(
+    entry_context& context, worker& home, state::row_key key, state::ledger_record wanted)
 {
     for (int i = 0; i < most_background_attempts; ++i)
     {
@@ -211,8 +211,8 @@
 };
 
 /// Runs an operation that needs no ledger: idempotent, or without a key.
-net::awaitable<bool>
-run_unkeyed(caller_call& call, state::operation_request const& request, bool idempotent)
+net::awaitable<bool> run_unkeyed(
+    caller_call& call, state::operation_request const& request, bool idempotent)
 {
     operation_caller caller(call.context, call.home, request, call.deadline);
     auto outcome = co_await caller.call(idempotent);
--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -64,6 +64,12 @@
     endpoint_.stop();
 }
 
+peer_links::question_scope::~question_scope()
+{
+    state::ranked_lock lock(links_.mutex_);
+    links_.questions_.erase(number_);
+}
+
 connection_number peer_links::link_to(state::instance const& to)
 {
     auto const known = outbound_.find(to.id);
@@ -114,6 +120,7 @@
     auto q = std::make_shared<question>();
     q->answered = std::make_shared<async_signal>(io);
     auto const number = ++last_question_;
+    question_scope const open(*this, number);
     auto message = make(protocol::correlation{number});
     {
         state::ranked_lock lock(mutex_);
@@ -123,7 +130,6 @@
     }
     co_await q->answered->wait(limit);
     state::ranked_lock lock(mutex_);
-    questions_.erase(number);
     co_return std::move(q->answer);
 }
 
--- a/src/transport/peer_links.hpp
+++ b/src/transport/peer_links.hpp
@@ -46,8 +46,8 @@
 
     /// Sends the message that `make` builds and waits for the message with the same number.
     /// @return null when no answer came within `limit`, or the link was lost
-    net::awaitable<std::optional<protocol::peer_message>>
-    ask(net::io_context& io, state::instance to,
+    net::awaitable<std::optional<protocol::peer_message>> ask(
+        net::io_context& io, state::instance to,
         std::function<protocol::peer_message(protocol::correlation)> make, state::duration limit);
 
     /// Closes links that did not prove the key within the handshake time. Call it regularly.
@@ -71,6 +71,24 @@
     };
     using question_ptr = std::shared_ptr<question>;
 
+    /// Forgets a question when its coroutine ends, also by the end of its worker.
+    class question_scope
+    {
+    public:
+        question_scope(peer_links& links, std::uint64_t number)
+            : links_(links)
+            , number_(number)
+        {
+        }
+        question_scope(question_scope const&) = delete;
+        question_scope& operator=(question_scope const&) = delete;
+        ~question_scope();
+
+    private:
+        peer_links& links_;
+        std::uint64_t number_;
+    };
+
     connection_number link_to(state::instance const& to);
     void enqueue(connection_number number, link& l, protocol::peer_message message);
     void flush(connection_number number);
--- a/src/transport/peer_service.cpp
+++ b/src/transport/peer_service.cpp
@@ -26,8 +26,8 @@
 {
     std::visit(
         state::overloaded{
-            [&](protocol::journal_open& m) { on_open(from, via, m); },
-            [&](protocol::journal_append const& m) { on_append(from, via, m); },
+            [&](protocol::journal_open& m) { on_open(from, m); },
+            [&](protocol::journal_batch const& m) { on_batch(from, via, m); },
             [&](protocol::journal_read const& m) { on_read(via, m); },
             [&](protocol::journal_handover const& m) { adopt_all(m.owner); },
             [&](protocol::backend_leaving const& m)
@@ -44,48 +44,42 @@
         message);
 }
 
-void peer_service::on_open(
-    state::instance_id const& from, connection_number via, protocol::journal_open& message)
+void peer_service::on_open(state::instance_id const& from, protocol::journal_open& message)
 {
     auto const& header = message.request.header;
-    auto status = protocol::ack_status::accepted;
-    auto const known = context_.tables.journals.find(header.organisation, header.id);
-    if (known && known->owner() != from)
-        status = protocol::ack_status::superseded;
-    else if (!known)
-    {
-        auto const opened = context_.tables.journals.open(
-            std::move(message.request), from, message.lineage.front().tag);
-        if (opened)
-            opened->take_lineage(message.lineage);
-    }
-    if (status == protocol::ack_status::accepted)
-    {
-        state::ranked_lock lock(mutex_);
-        owners_.try_emplace(from, false);
-    }
-    context_.peers.reply(via, protocol::journal_ack{message.number, status, false});
+    if (context_.tables.journals.find(header.organisation, header.id))
+        return;
+    auto const tag = message.lineage.front().tag;
+    auto const opened = context_.tables.journals.open(std::move(message.request), from, tag);
+    if (opened)
+        opened->take_lineage(message.lineage);
+    state::ranked_lock lock(mutex_);
+    owners_.try_emplace(from, false);
 }
 
-void peer_service::on_append(
-    state::instance_id const& from, connection_number via, protocol::journal_append const& message)
+void peer_service::on_batch(
+    state::instance_id const& from, connection_number via, protocol::journal_batch const& message)
 {
-    protocol::journal_ack ack{message.number, protocol::ack_status::accepted, false};
-    auto const journal = context_.tables.journals.find(message.key.organisation, message.key.id);
+    protocol::journal_ack ack{{}, message.number};
+    for (auto const& append : message.appends)
+        ack.appends.push_back(on_append(from, append));
+    context_.peers.reply(via, std::move(ack));
+}
+
+protocol::append_ack peer_service::on_append(
+    state::instance_id const& from, protocol::journal_append const& append)
+{
+    auto const journal = context_.tables.journals.find(append.key.organisation, append.key.id);
     if (!journal)
-        ack.status = protocol::ack_status::unknown;
-    else if (journal->owner() != from)
-        ack.status = protocol::ack_status::superseded;
-    else if (auto const merged = journal->merge(message.part);
-             merged == state::append_result::gap || merged == state::append_result::diverged)
-        ack.status = protocol::ack_status::unknown;
-    else
-    {
-        ack.read_recently = now() - journal->last_read() < recent_read;
-        if (message.part.finish)
-            context_.tables.journals.retire(journal, now(), context_.settings.journal_kept);
-    }
-    context_.peers.reply(via, ack);
+        return {protocol::ack_status::unknown, false};
+    if (journal->owner() != from)
+        return {protocol::ack_status::superseded, false};
+    auto const merged = journal->merge(append.part);
+    if (merged == state::append_result::gap || merged == state::append_result::diverged)
+        return {protocol::ack_status::unknown, false};
+    if (append.part.finish)
+        context_.tables.journals.retire(journal, now(), context_.settings.journal_kept);
+    return {protocol::ack_status::accepted, now() - journal->last_read() < recent_read};
 }
 
 void peer_service::on_read(connection_number via, protocol::journal_read const& message)
--- a/src/transport/peer_service.hpp
+++ b/src/transport/peer_service.hpp
@@ -19,8 +19,8 @@
 public:
     explicit peer_service(entry_context& context);
 
-    void
-    receive(state::instance_id const& from, connection_number via, protocol::peer_message message);
+    void receive(
+        state::instance_id const& from, connection_number via, protocol::peer_message message);
 
     /// Asks owners of unfinished replicas whether they live; adopts the requests of those that
     /// do not answer. Call it regularly, on the home worker.
@@ -30,11 +30,12 @@
     void hand_over();
 
 private:
-    void
-    on_open(state::instance_id const& from, connection_number via, protocol::journal_open& message);
-    void on_append(
+    void on_open(state::instance_id const& from, protocol::journal_open& message);
+    void on_batch(
         state::instance_id const& from, connection_number via,
-        protocol::journal_append const& message);
+        protocol::journal_batch const& message);
+    protocol::append_ack on_append(
+        state::instance_id const& from, protocol::journal_append const& append);
     void on_read(connection_number via, protocol::journal_read const& message);
     void on_grouped_write(connection_number via, protocol::grouped_write& message);
     net::awaitable<void> probe(state::instance_id owner);
--- a/src/transport/platform_client.cpp
+++ b/src/transport/platform_client.cpp
@@ -61,8 +61,8 @@
 {
 }
 
-net::awaitable<std::vector<state::write_result>>
-platform_client::transact(std::vector<state::table_write> writes)
+net::awaitable<std::vector<state::write_result>> platform_client::transact(
+    std::vector<state::table_write> writes)
 {
     http_call call;
     call.method = "POST";
@@ -114,8 +114,8 @@
     co_return std::move(reply.value().body);
 }
 
-net::awaitable<std::optional<std::vector<state::table_row>>>
-platform_client::scan(std::string prefix, std::string after, std::size_t limit)
+net::awaitable<std::optional<std::vector<state::table_row>>> platform_client::scan(
+    std::string prefix, std::string after, std::size_t limit)
 {
     auto const body = co_await fetch(
         "/table/scan?prefix=" + protocol::url_encoded(prefix) +
--- a/src/transport/platform_client.hpp
+++ b/src/transport/platform_client.hpp
@@ -29,15 +29,15 @@
     /// Runs one transaction. When rows conflict, none of the others is written; their result is
     /// `write_refused`, and they may be sent again.
     /// @return one result for each write, in their order
-    net::awaitable<std::vector<state::write_result>>
-    transact(std::vector<state::table_write> writes);
+    net::awaitable<std::vector<state::write_result>> transact(
+        std::vector<state::table_write> writes);
 
     net::awaitable<state::read_result> read(state::row_key key);
 
     /// Rows whose key begins with `prefix`, after `after` in key order.
     /// @return null when the call failed
-    net::awaitable<std::optional<std::vector<state::table_row>>>
-    scan(std::string prefix, std::string after, std::size_t limit);
+    net::awaitable<std::optional<std::vector<state::table_row>>> scan(
+        std::string prefix, std::string after, std::size_t limit);
 
     /// Stores an object; storing the same object again is harmless.
     /// @return false when it may not be stored
--- a/src/transport/reply_writer.cpp
+++ b/src/transport/reply_writer.cpp
@@ -41,6 +41,7 @@
 reply_writer::reply_writer(beast::tcp_stream& stream, state::duration limit)
     : stream_(stream)
     , limit_(limit)
+    , io_limit_(stream)
 {
 }
 
@@ -50,9 +51,10 @@
     set_head(response, reply, keep_alive_);
     response.body() = std::move(reply.body);
     response.prepare_payload();
-    stream_.expires_after(limit_);
+    io_limit_.begin(limit_);
     error_code fault;
     co_await http::async_write(stream_, response, into(fault));
+    io_limit_.end();
     co_return !fault;
 }
 
@@ -62,25 +64,28 @@
     set_head(response, head, keep_alive_);
     response.chunked(true);
     http::response_serializer<http::empty_body> serializer(response);
-    stream_.expires_after(limit_);
+    io_limit_.begin(limit_);
     error_code fault;
     co_await http::async_write_header(stream_, serializer, into(fault));
+    io_limit_.end();
     co_return !fault;
 }
 
 net::awaitable<bool> reply_writer::send_part(std::string part)
 {
-    stream_.expires_after(limit_);
+    io_limit_.begin(limit_);
     error_code fault;
     co_await net::async_write(stream_, http::make_chunk(net::buffer(part)), into(fault));
+    io_limit_.end();
     co_return !fault;
 }
 
 net::awaitable<bool> reply_writer::end()
 {
-    stream_.expires_after(limit_);
+    io_limit_.begin(limit_);
     error_code fault;
     co_await net::async_write(stream_, http::make_chunk_last(), into(fault));
+    io_limit_.end();
     co_return !fault;
 }
 
--- a/src/transport/reply_writer.hpp
+++ b/src/transport/reply_writer.hpp
@@ -4,6 +4,7 @@
 #include "protocol/problem.hpp"
 #include "state/time.hpp"
 #include "transport/asio.hpp"
+#include "transport/io_limit.hpp"
 
 #include <string>
 #include <utility>
@@ -49,6 +50,7 @@
 private:
     beast::tcp_stream& stream_;
     state::duration limit_;
+    io_limit io_limit_;
     bool keep_alive_ = true;
 };
 
--- a/src/transport/review_runner.cpp
+++ b/src/transport/review_runner.cpp
@@ -5,6 +5,7 @@
 #include "protocol/record_codec.hpp"
 #include "transport/chat_driver.hpp"
 #include "transport/clock.hpp"
+#include "transport/journal_watch.hpp"
 #include "transport/log.hpp"
 #include "transport/review_store.hpp"
 
@@ -106,8 +107,8 @@
     --running_;
 }
 
-net::awaitable<std::optional<std::string>>
-review_runner::answer(state::review_record& claim, state::row_version& version)
+net::awaitable<std::optional<std::string>> review_runner::answer(
+    state::review_record& claim, state::row_version& version)
 {
     auto platform = context_.platform(home_);
     auto const stored = co_await platform.object(claim.body_object);
@@ -121,14 +122,13 @@
     auto const driver = std::make_shared<chat_driver>(context_, home_, journal, admission_slot{});
     driver->keep_without_reader();
     driver->start();
-    auto const changed = std::make_shared<async_signal>(home_.io());
-    journal->listen([changed] { changed->notify(); });
+    journal_watch watch(home_.io(), journal);
     auto const renew_period = settings_.lease / 3;
     auto next_renewal = now() + renew_period;
     while (!journal->finished())
     {
         journal->record_delivered(journal->last());
-        co_await changed->wait(renew_period);
+        co_await watch.wait(renew_period);
         if (now() < next_renewal)
             continue;
         next_renewal = now() + renew_period;
--- a/src/transport/review_runner.hpp
+++ b/src/transport/review_runner.hpp
@@ -26,8 +26,8 @@
     net::awaitable<void> scan_rows();
     net::awaitable<void> consider(state::table_row row);
     net::awaitable<void> run(state::review_record claim, state::row_version version);
-    net::awaitable<std::optional<std::string>>
-    answer(state::review_record& claim, state::row_version& version);
+    net::awaitable<std::optional<std::string>> answer(
+        state::review_record& claim, state::row_version& version);
     net::awaitable<bool> renew(state::review_record& claim, state::row_version& version);
 
     entry_context& context_;
--- a/src/transport/review_store.cpp
+++ b/src/transport/review_store.cpp
@@ -15,8 +15,8 @@
 constexpr int most_store_attempts = 3;
 constexpr std::size_t object_suffix_bytes = 8;
 
-state::review_record
-new_record(state::chat_request const& request, state::organisation_id const& organisation)
+state::review_record new_record(
+    state::chat_request const& request, state::organisation_id const& organisation)
 {
     state::review_record record;
     record.id = request.header.id;
--- a/src/transport/worker_pool.cpp
+++ b/src/transport/worker_pool.cpp
@@ -1,6 +1,7 @@
 #include "transport/worker_pool.hpp"
 
 #include "transport/log.hpp"
+#include "transport/replica_feed.hpp"
 
 namespace auburnweir::transport
 {
@@ -30,9 +31,12 @@
 worker::worker(std::size_t index, std::uint64_t seed)
     : index_(index)
     , random_(seed + index)
+    , feeds_(std::make_unique<replica_feeds>())
 {
 }
 
+worker::~worker() = default;
+
 worker_pool::worker_pool(std::size_t size, std::uint64_t seed)
     : parallelism_(oneapi::tbb::global_control::max_allowed_parallelism, size + 1)
     , arena_(static_cast<int>(size), 0)
--- a/src/transport/worker_pool.hpp
+++ b/src/transport/worker_pool.hpp
@@ -15,6 +15,8 @@
 namespace auburnweir::transport
 {
 
+class replica_feeds;
+
 /// One thread's event loop and what belongs to it alone: connections and random numbers.
 ///
 /// A session stays on the worker that accepted it, so its objects need no locks; what sessions
@@ -23,17 +25,20 @@
 {
 public:
     worker(std::size_t index, std::uint64_t seed);
+    ~worker();
 
     std::size_t index() const { return index_; }
     net::io_context& io() { return io_; }
     http_client& http() { return http_; }
     std::mt19937_64& random() { return random_; }
+    replica_feeds& feeds() { return *feeds_; }
 
 private:
     std::size_t index_;
     net::io_context io_{1};
     http_client http_{io_};
     std::mt19937_64 random_;
+    std::unique_ptr<replica_feeds> feeds_;
 };
 
 /// Runs one event loop a thread in a oneTBB arena. Idle workers block in the kernel.
--- a/tests/property/parser_property_test.cpp
+++ b/tests/property/parser_property_test.cpp
@@ -58,9 +58,9 @@
     switch (*rc::gen::inRange(0, 6))
     {
     case 0:
-        return journal_append{key, part, number};
+        return journal_batch{{{key, part}, {key, part}}, number};
     case 1:
-        return journal_ack{number, ack_status::superseded, true};
+        return journal_ack{{{ack_status::superseded, true}, {}}, number};
     case 2:
         return journal_reply{part, {{state::generation_tag{"g"}, state::open_end}}, number};
     case 3:
--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -12,9 +12,10 @@
 constexpr state::duration stream_limit = std::chrono::seconds{30};
 
 template <class T>
-net::awaitable<void> store(net::awaitable<T> task, std::optional<T>& result)
+net::awaitable<void> store(net::io_context& io, net::awaitable<T> task, std::optional<T>& result)
 {
     result.emplace(co_await std::move(task));
+    io.stop();
 }
 
 /// Runs one coroutine to its end.
@@ -22,14 +23,14 @@
 T run(net::io_context& io, net::awaitable<T> task)
 {
     std::optional<T> result;
-    net::co_spawn(io, store(std::move(task), result), net::detached);
     io.restart();
+    net::co_spawn(io, store(io, std::move(task), result), net::detached);
     io.run();
     return std::move(*result);
 }
 
-transport::http_call
-call_of(std::string method, std::string target, header_list headers, std::string body)
+transport::http_call call_of(
+    std::string method, std::string target, header_list headers, std::string body)
 {
     transport::http_call what;
     what.method = std::move(method);
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -40,8 +40,8 @@
         return r;
     }
 
-    std::optional<backend_id>
-    choose(routing_policy policy, std::vector<backend_view> const& candidates, routing_request r)
+    std::optional<backend_id> choose(
+        routing_policy policy, std::vector<backend_view> const& candidates, routing_request r)
     {
         return router(std::move(policy), prefixes).choose(candidates, r, now, random);
     }
--- a/tools/standins/engine.cpp
+++ b/tools/standins/engine.cpp
@@ -213,8 +213,8 @@
         --running_;
     }
 
-    net::awaitable<void>
-    generate(engine_request request, std::string attempt, standin_connection& connection)
+    net::awaitable<void> generate(
+        engine_request request, std::string attempt, standin_connection& connection)
     {
         auto const computed = prefill(request);
         statistics_.prefilled += computed;
--- a/tools/standins/service.cpp
+++ b/tools/standins/service.cpp
@@ -62,8 +62,8 @@
         co_await send_json(connection, 200, answer_body(request, name, run));
     }
 
-    static json
-    answer_body(standin_request const& request, std::string const& name, std::int64_t run)
+    static json answer_body(
+        standin_request const& request, std::string const& name, std::int64_t run)
     {
         return {
             {"operation", request.target.substr(1)},
