Wake readers once a token and choose among a cached subset

Cause: perf showed that a token woke its reader three times (written, released, delivered) and that listing and subsetting 600 engines cost 105 us a request.

--- a/bench/decisions.cpp
+++ b/bench/decisions.cpp
@@ -4,6 +4,7 @@
 #include "coordination/journal_placement.hpp"
 #include "coordination/operation_run.hpp"
 #include "coordination/router.hpp"
+#include "coordination/subset_cache.hpp"
 #include "protocol/chat_codec.hpp"
 #include "protocol/peer_message.hpp"
 
@@ -59,13 +60,17 @@
 }
 BENCHMARK(choose_subset)->Arg(25)->Arg(600)->Unit(benchmark::kMicrosecond);
 
-void list_routable(benchmark::State& state)
+/// The whole routing decision of a request: subset, views, choice.
+void route_request(benchmark::State& state)
 {
     state::configuration::builder builder;
-    state::failure_domain domain;
-    domain.id = state::failure_domain_id{"d"};
-    domain.region = state::region_id{"r"};
-    builder.add(domain, {});
+    for (int d = 0; d < 4; ++d)
+    {
+        state::failure_domain domain;
+        domain.id = state::failure_domain_id{"domain-" + std::to_string(d)};
+        domain.region = state::region_id{d % 2 ? "east" : "west"};
+        builder.add(domain, {});
+    }
     state::service service;
     service.id = state::service_id{"s"};
     builder.add(service, {});
@@ -74,16 +79,26 @@
         state::backend_server server;
         server.id = state::backend_id{"engine-" + std::to_string(i)};
         server.service = service.id;
-        server.failure_domain = domain.id;
+        server.failure_domain = state::failure_domain_id{"domain-" + std::to_string(i % 4)};
         builder.add(server, {});
     }
     state::findings found;
     state::backend_table table;
     table.apply(*builder.build(found), {});
+    coordination::subset_cache subsets(state::instance_id{"entry-1"}, 24);
+    coordination::prefix_index prefixes(65536, 5min);
+    coordination::router const router(coordination::predicted_first_token{}, prefixes);
+    coordination::routing_request request;
+    request.prompt = state::token_count{500};
+    request.prefix = coordination::hash_prefix(std::string(2000, 'p'));
+    request.region = state::region_id{"west"};
+    coordination::random_engine random(1);
+    state::time_point const now{1h};
     for (auto _ : state)
-        benchmark::DoNotOptimize(table.routable(service.id, state::time_point{1h}));
+        benchmark::DoNotOptimize(
+            router.choose(subsets.candidates(table, service.id, now), request, now, random));
 }
-BENCHMARK(list_routable)->Arg(25)->Arg(600)->Unit(benchmark::kMicrosecond);
+BENCHMARK(route_request)->Arg(25)->Arg(600)->Unit(benchmark::kMicrosecond);
 
 void admit_and_release(benchmark::State& state)
 {
--- a/bench/system.cpp
+++ b/bench/system.cpp
@@ -32,6 +32,7 @@
     plan.entries = entries;
     plan.token_us = token_us;
     plan.concurrency = "100000";
+    plan.engine_slots = 100000;
     plan.entry_settings = {{"workers", "1"}, {"review_scan_ms", "1000"}, {"poll_period_ms", "500"}};
     return plan;
 }
@@ -151,8 +152,11 @@
 int main(int argc, char** argv)
 {
     int quick = 0;
+    char* only = nullptr;
     poptOption const options[] = {
         {"quick", 0, POPT_ARG_NONE, &quick, 0, "smaller runs, for a first look", nullptr},
+        {"only", 0, POPT_ARG_STRING, &only, 0,
+         "one part: latency, requests, tokens, memory, ledger", "PART"},
         POPT_AUTOHELP POPT_TABLEEND};
     auto* const context = poptGetContext(nullptr, argc, const_cast<char const**>(argv), options, 0);
     while (poptGetNextOpt(context) >= 0)
@@ -160,11 +164,19 @@
     }
     poptFreeContext(context);
     std::printf("metric,ours,target,unit\n");
-    measure_latency(quick ? 500 : 3000);
-    measure_requests(quick ? 3000 : 20000);
-    for (auto const streams : quick ? std::vector{100} : std::vector{50, 100, 200, 400})
-        measure_tokens(streams, quick ? 100 : 200, 20000);
-    measure_memory(quick ? std::vector{100, 400} : std::vector{100, 400, 800, 1200});
-    measure_ledger(quick ? 800 : 2400);
+    std::string const part = only ? only : "";
+    std::free(only);
+    auto const wanted = [&](char const* name) { return part.empty() || part == name; };
+    if (wanted("latency"))
+        measure_latency(quick ? 500 : 3000);
+    if (wanted("requests"))
+        measure_requests(quick ? 3000 : 20000);
+    if (wanted("tokens"))
+        for (auto const streams : quick ? std::vector{400} : std::vector{100, 200, 400, 800})
+            measure_tokens(streams, quick ? 150 : 200, 50000);
+    if (wanted("memory"))
+        measure_memory(quick ? std::vector{100, 400} : std::vector{100, 400, 800, 1200});
+    if (wanted("ledger"))
+        measure_ledger(quick ? 800 : 2400);
     return 0;
 }
--- a/src/coordination/journal_placement.cpp
+++ b/src/coordination/journal_placement.cpp
@@ -13,11 +13,16 @@
 
 void sort_by_weight(state::request_id const& request, std::vector<state::instance>& all)
 {
-    auto const weight = [&](state::instance const& i)
-    { return rendezvous_weight(request.str(), i.id.str()); };
-    std::sort(
-        all.begin(), all.end(),
-        [&](state::instance const& a, state::instance const& b) { return weight(a) > weight(b); });
+    std::vector<std::pair<std::uint64_t, std::size_t>> order;
+    order.reserve(all.size());
+    for (std::size_t i = 0; i < all.size(); ++i)
+        order.emplace_back(rendezvous_weight(request.str(), all[i].id.str()), i);
+    std::sort(order.rbegin(), order.rend());
+    std::vector<state::instance> sorted;
+    sorted.reserve(all.size());
+    for (auto const& [weight, index] : order)
+        sorted.push_back(std::move(all[index]));
+    all = std::move(sorted);
 }
 
 } // namespace
--- a/src/state/backend_table.cpp
+++ b/src/state/backend_table.cpp
@@ -46,26 +46,58 @@
     }
     views_ = std::move(next);
     by_service_ = std::move(by_service);
+    ++revision_;
 }
 
 std::vector<backend_view> backend_table::routable(service_id const& service, time_point now) const
+{
+    std::vector<backend_id> members;
+    {
+        ranked_lock lock(mutex_);
+        auto const it = by_service_.find(service);
+        if (it != by_service_.end())
+            members = it->second;
+    }
+    return routable(members, now);
+}
+
+std::vector<backend_view> backend_table::routable(
+    std::vector<backend_id> const& ids, time_point now) const
+{
+    std::vector<backend_view> found;
+    found.reserve(ids.size());
+    ranked_lock lock(mutex_);
+    for (auto const& id : ids)
+    {
+        auto const it = views_.find(id);
+        if (it == views_.end())
+            continue;
+        auto const& view = it->second;
+        if (!view.leaving && !(view.ejected_until && now < *view.ejected_until))
+            found.push_back(view);
+    }
+    return found;
+}
+
+std::vector<backend_view> backend_table::staying(service_id const& service) const
 {
     std::vector<backend_view> found;
     ranked_lock lock(mutex_);
     auto const members = by_service_.find(service);
     if (members == by_service_.end())
         return found;
-    found.reserve(members->second.size());
     for (auto const& id : members->second)
-    {
-        auto const& view = views_.at(id);
-        if (view.leaving || (view.ejected_until && now < *view.ejected_until))
-            continue;
-        found.push_back(view);
-    }
+        if (!views_.at(id).leaving)
+            found.push_back(views_.at(id));
     return found;
 }
 
+std::uint64_t backend_table::revision() const
+{
+    ranked_lock lock(mutex_);
+    return revision_;
+}
+
 std::vector<backend_view> backend_table::all() const
 {
     std::vector<backend_view> found;
@@ -178,6 +210,7 @@
     if (it == views_.end() || it->second.leaving)
         return false;
     it->second.leaving = mark;
+    ++revision_;
     return true;
 }
 
--- a/src/state/backend_table.hpp
+++ b/src/state/backend_table.hpp
@@ -69,6 +69,15 @@
     /// Backend servers of a service that may get new work at `now`.
     std::vector<backend_view> routable(service_id const& service, time_point now) const;
 
+    /// Those of `ids` that may get new work at `now`.
+    std::vector<backend_view> routable(std::vector<backend_id> const& ids, time_point now) const;
+
+    /// Backend servers of a service that are not leaving, ejected or not.
+    std::vector<backend_view> staying(service_id const& service) const;
+
+    /// Changes whenever `staying` may give something else.
+    std::uint64_t revision() const;
+
     /// All backend servers, for reports.
     std::vector<backend_view> all() const;
 
@@ -97,6 +106,7 @@
     mutable ranked_mutex mutex_{lock_rank::backend_table};
     std::unordered_map<backend_id, backend_view> views_;
     std::unordered_map<service_id, std::vector<backend_id>> by_service_;
+    std::uint64_t revision_ = 0;
 };
 
 } // namespace auburnweir::state
--- a/src/state/journal.cpp
+++ b/src/state/journal.cpp
@@ -74,6 +74,7 @@
 
 append_result journal::append(attempt_token const& attempt, std::string token)
 {
+    journal_changes changes = 0;
     {
         ranked_lock lock(mutex_);
         if (attempt != current_)
@@ -81,13 +82,15 @@
         if (finish_)
             return append_result::closed;
         tokens_.push_back(std::move(token));
+        changes = change_by_writing();
     }
-    notify();
+    notify(changes);
     return append_result::appended;
 }
 
 append_result journal::finish(attempt_token const& attempt, finish_reason reason)
 {
+    journal_changes changes = 0;
     {
         ranked_lock lock(mutex_);
         if (attempt != current_)
@@ -95,13 +98,15 @@
         if (finish_)
             return append_result::closed;
         finish_ = reason;
+        changes = change_by_writing();
     }
-    notify();
+    notify(changes);
     return append_result::appended;
 }
 
 append_result journal::fail(refusal_reason reason)
 {
+    journal_changes changes = 0;
     {
         ranked_lock lock(mutex_);
         if (finish_)
@@ -109,13 +114,15 @@
         finish_ = finish_reason::failed;
         failure_ = reason;
         current_ = attempt_token{};
+        changes = change_by_writing();
     }
-    notify();
+    notify(changes);
     return append_result::appended;
 }
 
 append_result journal::merge(journal_part const& part)
 {
+    journal_changes changes = 0;
     {
         ranked_lock lock(mutex_);
         auto const have = tokens_.size();
@@ -137,8 +144,9 @@
             tokens_.push_back(part.tokens[i - (first - 1)]);
         if (ends)
             finish_ = part.finish;
+        changes = change_by_writing();
     }
-    notify();
+    notify(changes);
     return append_result::appended;
 }
 
@@ -155,7 +163,7 @@
         ranked_lock lock(mutex_);
         released_ = std::max<std::size_t>(released_, std::min(upto.count(), tokens_.size()));
     }
-    notify();
+    notify(static_cast<journal_changes>(journal_change::visible));
 }
 
 void journal::release_all()
@@ -164,7 +172,7 @@
         ranked_lock lock(mutex_);
         held_ = false;
     }
-    notify();
+    notify(static_cast<journal_changes>(journal_change::visible));
 }
 
 void journal::yield_to(instance_id owner)
@@ -177,7 +185,7 @@
         current_ = attempt_token{};
         owner_ = std::move(owner);
     }
-    notify();
+    notify(journal_change::written | journal_change::visible);
 }
 
 journal_part journal::part_after(sequence_number after, std::size_t end) const
@@ -245,7 +253,7 @@
             return;
         delivered_ = upto.count();
     }
-    notify();
+    notify(static_cast<journal_changes>(journal_change::delivered));
 }
 
 std::uint64_t journal::undelivered() const
@@ -263,12 +271,12 @@
     return all;
 }
 
-std::uint64_t journal::listen(listener on_change)
+std::uint64_t journal::listen(journal_change kind, listener on_change)
 {
     ranked_lock lock(mutex_);
     auto const key = next_listener_++;
     auto next = *listeners_;
-    next.emplace_back(key, std::move(on_change));
+    next.push_back({key, kind, std::move(on_change)});
     listeners_ = std::make_shared<listener_list const>(std::move(next));
     return key;
 }
@@ -277,19 +285,26 @@
 {
     ranked_lock lock(mutex_);
     auto next = *listeners_;
-    std::erase_if(next, [&](auto const& l) { return l.first == key; });
+    std::erase_if(next, [&](subscriber const& s) { return s.key == key; });
     listeners_ = std::make_shared<listener_list const>(std::move(next));
 }
 
-void journal::notify()
+journal_changes journal::change_by_writing() const
+{
+    auto const written = static_cast<journal_changes>(journal_change::written);
+    return held_ ? written : journal_change::written | journal_change::visible;
+}
+
+void journal::notify(journal_changes changes)
 {
     std::shared_ptr<listener_list const> to_call;
     {
         ranked_lock lock(mutex_);
         to_call = listeners_;
     }
-    for (auto const& [key, on_change] : *to_call)
-        on_change();
+    for (auto const& s : *to_call)
+        if (includes(changes, s.kind))
+            s.on_change();
 }
 
 std::size_t journal_table::key_hash::operator()(key const& k) const
--- a/src/state/journal.hpp
+++ b/src/state/journal.hpp
@@ -70,6 +70,27 @@
     closed      ///< the answer has ended; nothing was changed
 };
 
+/// What about a journal changed; values join to a set.
+enum class journal_change : std::uint8_t
+{
+    written = 1,  ///< there are tokens or an end that a replica lacks
+    visible = 2,  ///< readers can see more, or the owner changed
+    delivered = 4 ///< the caller's connection has taken more
+};
+
+/// A set of changes.
+using journal_changes = std::uint8_t;
+
+constexpr journal_changes operator|(journal_change a, journal_change b)
+{
+    return static_cast<journal_changes>(static_cast<int>(a) | static_cast<int>(b));
+}
+
+constexpr bool includes(journal_changes all, journal_change one)
+{
+    return (all & static_cast<journal_changes>(one)) != 0;
+}
+
 /// The answer to one chat request as far as it is known, kept until it expires.
 ///
 /// Only the current attempt may append, so that late or crossed answers of an earlier attempt
@@ -150,13 +171,22 @@
     /// All tokens so far as one text.
     std::string text() const;
 
-    /// Calls `on_change` after each change, from the thread that made it, without the lock.
-    /// @return key for `unlisten`
-    std::uint64_t listen(listener on_change);
+    /// Calls `on_change` after each change of the kind, from the thread that made it, without the
+    /// lock. @return key for `unlisten`
+    std::uint64_t listen(journal_change kind, listener on_change);
     void unlisten(std::uint64_t key);
 
 private:
-    void notify();
+    struct subscriber
+    {
+        std::uint64_t key;
+        journal_change kind;
+        listener on_change;
+    };
+    using listener_list = std::vector<subscriber>;
+
+    void notify(journal_changes changes);
+    journal_changes change_by_writing() const;
     journal_part part_after(sequence_number after, std::size_t end) const;
 
     chat_request const request_;
@@ -171,7 +201,6 @@
     std::size_t released_ = 0; ///< tokens that readers may see while held
     std::uint64_t delivered_ = 0;
     time_point last_read_{};
-    using listener_list = std::vector<std::pair<std::uint64_t, listener>>;
     std::shared_ptr<listener_list const> listeners_ = std::make_shared<listener_list const>();
     std::uint64_t next_listener_ = 1;
 };
--- a/src/state/lock_rank.hpp
+++ b/src/state/lock_rank.hpp
@@ -12,6 +12,7 @@
     configuration = 10,
     admission_gate = 15,
     admission = 20,
+    subset_cache = 25,
     backend_table = 30,
     prefix_index = 40,
     retry_budget = 50,
--- a/src/transport/answer_stream.cpp
+++ b/src/transport/answer_stream.cpp
@@ -61,7 +61,7 @@
 net::awaitable<bool> stream_answer(
     caller_call& call, state::journal_ptr journal, state::resume_point from)
 {
-    journal_watch watch(call.home.io(), journal);
+    journal_watch watch(call.home.io(), journal, state::journal_change::visible);
     auto& counters = call.context.tables.counters;
     auto after = from.after;
     bool begun = false;
@@ -104,7 +104,7 @@
 
 net::awaitable<bool> send_whole_answer(caller_call& call, state::journal_ptr journal)
 {
-    journal_watch watch(call.home.io(), journal);
+    journal_watch watch(call.home.io(), journal, state::journal_change::visible);
     auto after = state::sequence_number{0};
     for (;;)
     {
--- a/src/transport/chat_driver.cpp
+++ b/src/transport/chat_driver.cpp
@@ -447,7 +447,7 @@
 
 net::awaitable<void> chat_driver::wait_for_reader()
 {
-    journal_watch watch(home_.io(), journal_);
+    journal_watch watch(home_.io(), journal_, state::journal_change::delivered);
     while (journal_->undelivered() > most_undelivered_tokens / 2 && !abandoned() &&
            !past_deadline() && !taken_over())
         co_await watch.wait(reader_pause);
--- a/src/transport/entry_context.cpp
+++ b/src/transport/entry_context.cpp
@@ -1,6 +1,5 @@
 #include "transport/entry_context.hpp"
 
-#include "coordination/backend_subset.hpp"
 #include "coordination/spread.hpp"
 #include "protocol/digest.hpp"
 #include "transport/clock.hpp"
@@ -41,6 +40,7 @@
     , router(policy_named(settings.routing), prefixes)
     , retries(retry_settings_of(settings))
     , outliers({})
+    , subsets(settings.id, static_cast<std::size_t>(settings.subset_size))
 {
 }
 
@@ -52,9 +52,7 @@
 
 std::vector<state::backend_view> entry_context::candidates(state::service_id const& service) const
 {
-    return coordination::backend_subset(
-        self.id, tables.backends.routable(service, now()),
-        static_cast<std::size_t>(settings.subset_size));
+    return tables.subsets.candidates(tables.backends, service, now());
 }
 
 void entry_context::record_failure(state::backend_view const& backend) const
--- a/src/transport/entry_context.hpp
+++ b/src/transport/entry_context.hpp
@@ -5,6 +5,7 @@
 #include "coordination/prefix_index.hpp"
 #include "coordination/retry_policy.hpp"
 #include "coordination/router.hpp"
+#include "coordination/subset_cache.hpp"
 #include "protocol/entry_settings.hpp"
 #include "state/backend_table.hpp"
 #include "state/configuration_table.hpp"
@@ -36,6 +37,7 @@
     coordination::router router;
     coordination::retry_policy retries;
     coordination::outlier_detector outliers;
+    coordination::subset_cache subsets;
     admission_gate admission;
 };
 
--- a/src/transport/journal_replicator.cpp
+++ b/src/transport/journal_replicator.cpp
@@ -66,7 +66,7 @@
     auto const feed = home_.feeds().feed_to(context_, home_, replica);
     auto const fed = feed->attach(journal_);
     journal_subscription const subscription(
-        journal_,
+        journal_, state::journal_change::written,
         [&io = home_.io(), feed, fed] { net::dispatch(io, [feed, fed] { feed->changed(fed); }); });
     co_return co_await fed->wait_for_end();
 }
--- a/src/transport/journal_watch.hpp
+++ b/src/transport/journal_watch.hpp
@@ -11,9 +11,10 @@
 class journal_subscription
 {
 public:
-    journal_subscription(state::journal_ptr journal, state::journal::listener on_change)
+    journal_subscription(
+        state::journal_ptr journal, state::journal_change kind, state::journal::listener on_change)
         : journal_(std::move(journal))
-        , key_(journal_->listen(std::move(on_change)))
+        , key_(journal_->listen(kind, std::move(on_change)))
     {
     }
 
@@ -31,9 +32,9 @@
 class journal_watch
 {
 public:
-    journal_watch(net::io_context& io, state::journal_ptr journal)
+    journal_watch(net::io_context& io, state::journal_ptr journal, state::journal_change kind)
         : changed_(std::make_shared<async_signal>(io))
-        , subscription_(std::move(journal), [changed = changed_] { changed->notify(); })
+        , subscription_(std::move(journal), kind, [changed = changed_] { changed->notify(); })
     {
     }
 
--- a/src/transport/review_runner.cpp
+++ b/src/transport/review_runner.cpp
@@ -122,7 +122,7 @@
     auto const driver = std::make_shared<chat_driver>(context_, home_, journal, admission_slot{});
     driver->keep_without_reader();
     driver->start();
-    journal_watch watch(home_.io(), journal);
+    journal_watch watch(home_.io(), journal, state::journal_change::written);
     auto const renew_period = settings_.lease / 3;
     auto next_renewal = now() + renew_period;
     while (!journal->finished())
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -81,7 +81,7 @@
     {
         engines_.push_back(std::make_unique<process>(std::vector{
             program("standin-engine"), std::string{"--token-us"}, std::to_string(plan_.token_us),
-            std::string{"--slots"}, std::string{"64"}}));
+            std::string{"--slots"}, std::to_string(plan_.engine_slots)}));
         engine_routes_.push_back(0);
         engine_ports_.push_back(
             proxied(plan_.proxied_engines, engines_.back()->port(), engine_routes_.back()));
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -22,6 +22,7 @@
     int services = 2;
     int domains = 3; ///< failure domains; processes are dealt out in turn
     std::int64_t token_us = 4000;
+    int engine_slots = 64;
     bool proxied_platform = false; ///< entries reach the platform through the faulty network
     bool proxied_engines = false;
     bool proxied_services = false;
--- a/tests/unit/journal_test.cpp
+++ b/tests/unit/journal_test.cpp
@@ -110,7 +110,7 @@
 TEST_F(journal_test, change_wakes_listeners_until_they_leave)
 {
     int calls = 0;
-    auto const key = subject->listen([&] { ++calls; });
+    auto const key = subject->listen(journal_change::written, [&] { ++calls; });
     subject->append(first, "a");
     subject->unlisten(key);
     subject->append(first, "b");
--- a/tests/unit/shared_tables_test.cpp
+++ b/tests/unit/shared_tables_test.cpp
@@ -93,7 +93,7 @@
             {
                 if (t == 0)
                     subject.append(attempt, "x");
-                auto const key = subject.listen([] {});
+                auto const key = subject.listen(journal_change::written, [] {});
                 auto const part = subject.read_after({}, 100000);
                 EXPECT_GE(part.tokens.size(), seen);
                 seen = part.tokens.size();
