Read and write token streams with one system call each

Cause: after the wakes, composed reads and writes were the largest part of a token's user time. Change: a read waits for readiness and then receives once; a part that fits the socket's buffer is sent at once. Tests for connections cut again and again, a slow store, and a service cut in the middle.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -66,6 +66,13 @@
     http::response_parser<http::buffer_body> parser;
     std::array<char, read_buffer_bytes> bytes{};
 
+    /// Parses what was received into `bytes`. @return how many bytes of the body are there
+    std::size_t parse_received(error_code& fault);
+
+    /// Waits for bytes and puts them into the connection's buffer. One wait and one system call,
+    /// where the library's composed read makes two calls and several hand-overs.
+    net::awaitable<error_code> receive(auburnweir::state::duration limit);
+
     /// After the last byte: the connection may be used again.
     void give_back()
     {
@@ -94,33 +101,61 @@
     return state_->parser.get().base();
 }
 
+std::size_t http_stream::state::parse_received(error_code& fault)
+{
+    auto& body = parser.get().body();
+    body.data = bytes.data();
+    body.size = bytes.size();
+    auto& buffer = connection->buffer;
+    fault = {};
+    while (buffer.size() > 0 && !parser.is_done() && !fault)
+        buffer.consume(parser.put(buffer.data(), fault));
+    bool const wants_more = fault == http::error::need_more || fault == http::error::need_buffer;
+    if (wants_more)
+        fault = {};
+    return bytes.size() - parser.get().body().size;
+}
+
+net::awaitable<error_code> http_stream::state::receive(auburnweir::state::duration limit)
+{
+    auto& c = *connection;
+    error_code fault;
+    c.limit.begin(limit);
+    co_await c.stream.socket().async_wait(tcp::socket::wait_read, into(fault));
+    if (c.limit.end())
+        co_return beast::error::timeout;
+    if (fault)
+        co_return fault;
+    auto const room = c.buffer.prepare(read_buffer_bytes);
+    auto const got =
+        ::recv(c.stream.socket().native_handle(), room.data(), room.size(), MSG_DONTWAIT);
+    if (got > 0)
+        c.buffer.commit(static_cast<std::size_t>(got));
+    else if (got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR))
+        fault = net::error::eof;
+    co_return fault;
+}
+
 net::awaitable<http_result<std::string_view>> http_stream::read(auburnweir::state::duration limit)
 {
     auto& s = *state_;
-    if (s.parser.is_done())
+    while (!s.parser.is_done())
     {
-        s.give_back();
-        co_return std::string_view{};
+        error_code fault;
+        auto const got = s.parse_received(fault);
+        if (fault)
+            co_return http_fault::lost;
+        if (got > 0)
+            co_return std::string_view{s.bytes.data(), got};
+        if (s.parser.is_done())
+            break;
+        fault = co_await s.receive(limit);
+        if (fault == net::error::eof)
+            s.parser.put_eof(fault);
+        if (fault)
+            co_return lost_by(fault == beast::error::timeout);
     }
-    auto& body = s.parser.get().body();
-    body.data = s.bytes.data();
-    body.size = s.bytes.size();
-    s.connection->limit.begin(limit);
-    error_code fault;
-    co_await http::async_read_some(
-        s.connection->stream, s.connection->buffer, s.parser, into(fault));
-    bool const interrupted = s.connection->limit.end();
-    if (fault == http::error::need_buffer)
-        fault = {};
-    if (fault)
-        co_return lost_by(interrupted);
-    auto const got = s.bytes.size() - s.parser.get().body().size;
-    if (got > 0)
-        co_return std::string_view{s.bytes.data(), got};
-    if (s.parser.is_done())
-        s.give_back();
-    else
-        co_return co_await read(limit);
+    s.give_back();
     co_return std::string_view{};
 }
 
@@ -219,6 +254,7 @@
     bool const interrupted = s->connection->limit.end();
     if (fault)
         co_return lost_by(interrupted);
+    s->parser.eager(true);
     co_return http_stream{std::move(s)};
 }
 
--- a/src/transport/reply_writer.cpp
+++ b/src/transport/reply_writer.cpp
@@ -1,11 +1,17 @@
 #include "transport/reply_writer.hpp"
 
+#include <algorithm>
+#include <array>
+#include <charconv>
+
 namespace auburnweir::transport
 {
 
 namespace
 {
 
+constexpr std::size_t longest_chunk_head = 24;
+
 auto into(error_code& fault)
 {
     return net::redirect_error(net::use_awaitable, fault);
@@ -73,9 +79,25 @@
 
 net::awaitable<bool> reply_writer::send_part(std::string part)
 {
+    constexpr std::string_view line_end = "\r\n";
+    std::string chunk;
+    chunk.reserve(part.size() + longest_chunk_head);
+    std::array<char, longest_chunk_head> size{};
+    auto const end = std::to_chars(size.begin(), size.end(), part.size(), 16).ptr;
+    chunk.append(size.begin(), end).append(line_end).append(part).append(line_end);
+
+    // Most parts fit the socket's buffer: sent at once, without a round through the event loop.
+    auto const sent = ::send(
+        stream_.socket().native_handle(), chunk.data(), chunk.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent == static_cast<ssize_t>(chunk.size()))
+        co_return true;
+    bool const full = sent >= 0 || errno == EAGAIN || errno == EWOULDBLOCK;
+    if (!full)
+        co_return false;
+    auto const rest = net::buffer(chunk) + static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
     io_limit_.begin(limit_);
     error_code fault;
-    co_await net::async_write(stream_, http::make_chunk(net::buffer(part)), into(fault));
+    co_await net::async_write(stream_, rest, into(fault));
     io_limit_.end();
     co_return !fault;
 }
--- a/tests/integration/answers_test.cpp
+++ b/tests/integration/answers_test.cpp
@@ -138,6 +138,23 @@
     EXPECT_EQ(answer.text(), expected("hello"));
 }
 
+TEST_F(answers_test, engine_connections_cut_again_and_again_leave_the_answer_whole)
+{
+    deployment_plan plan;
+    plan.proxied_engines = true;
+    deploy(plan);
+    auto answer = stream(0, "hello", "r1");
+    for (std::size_t tokens = 20; tokens <= 80; tokens += 20)
+    {
+        answer.read_tokens(tokens);
+        for (int i = 0; i < 3; ++i)
+            system->engine_network(i, {{"cut", true}});
+    }
+    answer.read_to_end();
+    EXPECT_EQ(answer.text(), expected("hello"));
+    EXPECT_EQ(system->engine_total("refused_continuations"), 0);
+}
+
 TEST_F(answers_test, all_engines_of_a_domain_lost_at_once_leave_all_answers_whole)
 {
     deployment_plan plan;
--- a/tests/integration/operations_test.cpp
+++ b/tests/integration/operations_test.cpp
@@ -138,6 +138,37 @@
     EXPECT_EQ(system->runs("k"), 1);
 }
 
+TEST_F(operations_test, slow_store_and_slow_service_still_answer_once)
+{
+    deployment_plan plan;
+    plan.proxied_platform = true;
+    plan.proxied_services = true;
+    deploy(plan);
+    system->platform_network({{"delay_ms", 60}});
+    for (int i = 0; i < 2; ++i)
+        system->service_network(i, {{"delay_ms", 80}});
+    EXPECT_EQ(book(0, "k").status, 200);
+    EXPECT_EQ(book(1, "k").header("Idempotency-Replayed"), "true");
+    EXPECT_EQ(system->runs("k"), 1);
+}
+
+TEST_F(operations_test, service_connection_cut_in_the_middle_is_outcome_unknown)
+{
+    deployment_plan plan;
+    plan.proxied_services = true;
+    deploy(plan);
+    service_fault({{"delay_ms", 400}});
+    seen_reply reply;
+    std::thread caller([&] { reply = book(0, "k"); });
+    eventually([&] { return system->runs("k") == 1; });
+    for (int i = 0; i < 2; ++i)
+        system->service_network(i, {{"cut", true}});
+    caller.join();
+    EXPECT_EQ(reply.run(), "outcome_unknown");
+    EXPECT_EQ(book(1, "k").run(), "outcome_unknown");
+    EXPECT_EQ(system->runs("k"), 1);
+}
+
 TEST_F(operations_test, duplicated_store_traffic_never_doubles)
 {
     deployment_plan plan;
