--- a/src/coordination/resume_planner.hpp
+++ b/src/coordination/resume_planner.hpp
@@ -34,7 +34,7 @@
 /// What moving data and computing costs.
 struct resume_costs
 {
-    state::byte_count kv_bytes_per_token{160 * 1024};
+    state::byte_count kv_bytes_per_token{160LL * 1024};
     double transfer_bytes_per_second = 1.0e9;
     double cross_region_bytes_per_second = 1.0e8;
     double cross_region_price_per_byte = 2.0e-8; ///< in millionths of the currency
--- a/src/coordination/version_mover.cpp
+++ b/src/coordination/version_mover.cpp
@@ -36,6 +36,7 @@
         (key.version == move.to ? r.new_version : r.old_version).add(counts);
     }
     std::vector<compared_route> all;
+    all.reserve(routes.size());
     for (auto& [id, r] : routes)
         all.push_back(std::move(r));
     return all;
--- a/src/protocol/call_head.cpp
+++ b/src/protocol/call_head.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr std::int64_t longest_deadline_ms = 24 * 3600 * 1000;
+constexpr std::int64_t longest_deadline_ms = 24LL * 3600 * 1000;
 constexpr std::size_t longest_key = 128;
 
 /// Printable ASCII without blanks, so that it can stand in a row key and in a header.
--- a/src/protocol/chat_codec.cpp
+++ b/src/protocol/chat_codec.cpp
@@ -155,12 +155,11 @@
     {
         while (span->upto < number)
             ++span;
-        auto const content =
-            nlohmann::json(token).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        auto data = head;
+        data.append(R"({"content":)").append(dump(token)).append(R"(},"finish_reason":null}]})");
         auto const event_id = encode_resume_point({span->tag, number});
         number += state::sequence_number{1};
-        append_sse_event(
-            out, event_id, head + R"({"content":)" + content + R"(},"finish_reason":null}]})");
+        append_sse_event(out, event_id, data);
     }
     if (!part.finish)
         return out;
--- a/src/protocol/entry_settings.cpp
+++ b/src/protocol/entry_settings.cpp
@@ -62,7 +62,7 @@
 
 option<settings> choice_option(
     std::string key, std::string description, std::string default_value,
-    std::vector<std::string> choices, std::string settings::*member)
+    std::vector<std::string> const& choices, std::string settings::*member)
 {
     std::string range;
     for (auto const& c : choices)
--- a/src/protocol/option_table.hpp
+++ b/src/protocol/option_table.hpp
@@ -64,9 +64,10 @@
     auto text_of = [](Number n)
     {
         auto text = std::to_string(n);
-        if (text.find('.') != std::string::npos)
-            text.erase(text.find_last_not_of("0.") + 1 == 0 ? 1 : text.find_last_not_of("0") + 1);
-        if (!text.empty() && text.back() == '.')
+        if (text.find('.') == std::string::npos)
+            return text;
+        text.erase(text.find_last_not_of('0') + 1);
+        if (text.back() == '.')
             text.pop_back();
         return text;
     };
