Sample fewer engines and keep away from nearly full ones

Change: three sampled; a penalty that grows from 60% of an engine's slots. Stream buffers of 2 KiB, and the request buffer is freed before the answer.

--- a/src/coordination/router.cpp
+++ b/src/coordination/router.cpp
@@ -132,6 +132,12 @@
     if (excess > 0)
         wait += excess * default_decode_seconds_per_request / static_cast<double>(view.concurrency);
 
+    // Reports lag and others choose as well: an engine close to full is likely to be full on
+    // arrival.
+    auto const used = estimated_requests(view) / static_cast<double>(view.concurrency);
+    if (used > policy.busy_share)
+        wait += seconds(policy.full_penalty) * (used - policy.busy_share) / (1 - policy.busy_share);
+
     wait += 2 * seconds(view.link_latency);
     if (view.region != request.region)
     {
--- a/src/coordination/router.hpp
+++ b/src/coordination/router.hpp
@@ -49,11 +49,13 @@
 /// near-ties go to the cheapest.
 struct predicted_first_token
 {
-    std::size_t sampled = 8;                                  ///< candidates looked at
+    std::size_t sampled = 3; ///< candidates looked at; more of them herd on stale reports
     state::duration near_tie = std::chrono::milliseconds{20}; ///< differences that price decides
     double region_volume_price_seconds_per_token = 0.00002;   ///< penalty across regions
     state::duration region_latency = std::chrono::milliseconds{30}; ///< one way, between regions
     state::duration slow_start = std::chrono::seconds{10}; ///< ramp after start or ejection
+    double busy_share = 0.6; ///< of the slots, above which a penalty grows
+    state::duration full_penalty = std::chrono::milliseconds{100}; ///< with all slots in use
 };
 
 using routing_policy = std::variant<round_robin, least_loaded, power_of_two, predicted_first_token>;
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -131,6 +131,7 @@
     if (fault)
         co_return co_await refuse_unread(fault);
     auto incoming = parser.release();
+    buffer_.shrink_to_fit(); // an answer may stay open for long
     writer_.keep_alive(incoming.keep_alive() && !context_.stopping);
     co_return co_await dispatch(std::move(incoming));
 }
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::size_t read_buffer_bytes = 4096;
+constexpr std::size_t read_buffer_bytes = 2048;
 constexpr std::size_t header_limit_bytes = 16384;
 constexpr std::size_t whole_body_limit_bytes = 64UL * 1024 * 1024;
 constexpr std::size_t most_kept_per_endpoint = 64;
