--- a/src/state/configuration.cpp
+++ b/src/state/configuration.cpp
@@ -66,34 +66,31 @@
     if (!model_.digests_.emplace(value.bearer_digest, value.id).second)
         duplicates_.push_back(
             {place.file, place.line, section, "bearer token already belongs to another"});
-    if (!model_.organisations_.emplace(value.id, value).second)
-        duplicates_.push_back({place.file, place.line, section, "section stands twice"});
-    places_[section] = std::move(place);
-    return *this;
+    return insert(model_.organisations_, std::move(value), std::move(place));
 }
 
 configuration::builder& configuration::builder::add(failure_domain value, text_place place)
 {
-    auto const section = section_of(value);
-    if (!model_.domains_.emplace(value.id, value).second)
-        duplicates_.push_back({place.file, place.line, section, "section stands twice"});
-    places_[section] = std::move(place);
-    return *this;
+    return insert(model_.domains_, std::move(value), std::move(place));
 }
 
 configuration::builder& configuration::builder::add(service value, text_place place)
 {
-    auto const section = section_of(value);
-    if (!model_.services_.emplace(value.id, value).second)
-        duplicates_.push_back({place.file, place.line, section, "section stands twice"});
-    places_[section] = std::move(place);
-    return *this;
+    return insert(model_.services_, std::move(value), std::move(place));
 }
 
 configuration::builder& configuration::builder::add(backend_server value, text_place place)
+{
+    return insert(model_.backends_, std::move(value), std::move(place));
+}
+
+template <class Id, class Value>
+configuration::builder& configuration::builder::insert(
+    std::map<Id, Value>& into, Value value, text_place place)
 {
     auto const section = section_of(value);
-    if (!model_.backends_.emplace(value.id, value).second)
+    auto const id = value.id;
+    if (!into.emplace(id, std::move(value)).second)
         duplicates_.push_back({place.file, place.line, section, "section stands twice"});
     places_[section] = std::move(place);
     return *this;
--- a/src/state/configuration.hpp
+++ b/src/state/configuration.hpp
@@ -130,6 +130,8 @@
     configuration_ptr build(findings& out);
 
 private:
+    template <class Id, class Value>
+    builder& insert(std::map<Id, Value>& into, Value value, text_place place);
     void report(std::string const& section, std::string reason, findings& out) const;
     void check_references(findings& out) const;
     void check_cycles(findings& out) const;
