Refuse new requests after a stop, and drop what was never used

Cause: a kept connection could still start requests at an instance that had stopped listening; a read of the whole change found unused lock ranks, a handover that any peer could order for another, a counter never raised, and answers kept ten minutes (about 130 MB an instance at 360 nodes, worked out).

--- a/src/protocol/entry_settings.cpp
+++ b/src/protocol/entry_settings.cpp
@@ -159,7 +159,7 @@
             "replica_wait_ms", "longest that tokens wait for the journal's replica", "20", 0, 10000,
             &settings::replica_wait),
         milliseconds_option(
-            "journal_kept_ms", "time that a finished answer can be fetched again", "600000", 100,
+            "journal_kept_ms", "time that a finished answer can be fetched again", "120000", 100,
             86400000, &settings::journal_kept),
         milliseconds_option(
             "adopt_delay_ms", "silence of an owner after which its replica finishes its requests",
--- a/src/state/lock_rank.hpp
+++ b/src/state/lock_rank.hpp
@@ -19,13 +19,9 @@
     replica_owners = 55,
     journal_table = 60,
     journal = 70,
-    review_table = 80,
     peer_table = 90,
     peer_links = 95,
-    group_commit = 100,
-    connection_pool = 110,
-    timer = 120,
-    counters = 130
+    group_commit = 100
 };
 
 /// Mutex that asserts the order of `lock_rank` in debug builds.
--- a/src/transport/admission_gate.cpp
+++ b/src/transport/admission_gate.cpp
@@ -104,7 +104,6 @@
         auto const it = q.waiters.find(ticket.count());
         if (it == q.waiters.end())
             continue;
-        it->second->expired = true;
         it->second->decided->notify();
     }
 }
--- a/src/transport/admission_gate.hpp
+++ b/src/transport/admission_gate.hpp
@@ -62,7 +62,6 @@
     {
         signal_ptr decided;
         bool admitted = false;
-        bool expired = false;
     };
     using waiter_ptr = std::shared_ptr<waiter>;
     struct service_queue
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -208,6 +208,12 @@
         protocol::problem p{refusal_reason::unauthorised, run_outcome::not_run, {}, head.id, {}};
         co_return co_await send_problem(std::move(p));
     }
+    if (context_.closed)
+    {
+        protocol::problem p{refusal_reason::stopping, run_outcome::not_run, {}, head.id, {}};
+        p.retry_after = std::chrono::seconds{1};
+        co_return co_await send_problem(std::move(p));
+    }
     bool const events = text_of(incoming.base(), http::field::accept).find("text/event-stream") !=
                         std::string::npos;
     caller_call call{
--- a/src/transport/chat_driver.cpp
+++ b/src/transport/chat_driver.cpp
@@ -133,6 +133,9 @@
 net::awaitable<bool> chat_driver::next_attempt(state::backend_view backend)
 {
     count_replay(backend);
+    auto const hit = context_.tables.prefixes.expected_hit(backend.id, routing_.prefix, now());
+    if (hit.count() > 0)
+        context_.tables.counters.increment(state::event_counter::prefix_hits);
     ++attempts_;
     auto const outcome = co_await run_attempt(backend);
     previous_ = backend;
--- a/src/transport/entry_context.hpp
+++ b/src/transport/entry_context.hpp
@@ -90,7 +90,8 @@
     peer_links& peers;
     ledger_store& ledger;
     activity_count& activity;
-    std::atomic<bool>& stopping;
+    std::atomic<bool>& stopping; ///< readiness is off
+    std::atomic<bool>& closed;   ///< no new requests on open connections either
 
     platform_client platform(worker& w) const
     {
--- a/src/transport/entry_server.cpp
+++ b/src/transport/entry_server.cpp
@@ -64,7 +64,7 @@
                   tables,   workers,
                   timers,   peers,
                   ledger,   activity,
-                  stopping}
+                  stopping, closed}
         , service(context)
         , platform(context, [this](state::duration left) { begin_stop(left); })
         , engines(context)
@@ -82,6 +82,7 @@
     entry_tables tables;
     activity_count activity;
     std::atomic<bool> stopping{false};
+    std::atomic<bool> closed{false};
     peer_links peers;
     worker_pool workers;
     timer_service timers;
@@ -140,6 +141,7 @@
     auto const until = now() + limit;
     co_await sleep_for(io, std::min(settings.readiness_delay, limit));
     listener.close();
+    closed = true;
     while (activity.value() > 0 && now() < until)
         co_await sleep_for(io, activity_period);
     service.hand_over();
--- a/src/transport/peer_service.cpp
+++ b/src/transport/peer_service.cpp
@@ -29,7 +29,11 @@
             [&](protocol::journal_open& m) { on_open(from, m); },
             [&](protocol::journal_batch const& m) { on_batch(from, via, m); },
             [&](protocol::journal_read const& m) { on_read(via, m); },
-            [&](protocol::journal_handover const& m) { adopt_all(m.owner); },
+            [&](protocol::journal_handover const& m)
+            {
+                if (m.owner == from)
+                    adopt_all(from);
+            },
             [&](protocol::backend_leaving const& m)
             {
                 auto& home = context_.workers.at(0);
--- a/tests/integration/reclaim_test.cpp
+++ b/tests/integration/reclaim_test.cpp
@@ -186,6 +186,27 @@
     EXPECT_EQ(system->entry(0).wait_for_end(5000), 0);
 }
 
+TEST_F(reclaim_test, request_on_an_open_connection_after_the_stop_is_refused_as_not_run)
+{
+    deployment_plan plan;
+    plan.token_us = 20000;
+    deploy(plan);
+    auto answer = stream(0, "hello", "r1", 100);
+    answer.read_tokens(1);
+    caller_session session;
+    EXPECT_EQ(session.call(system->entry_port(0), "GET", "/ready").status, 200);
+    system->entry(0).signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds{500});
+
+    auto const reply = session.call(
+        system->entry_port(0), "POST", "/v1/services/booking/book", authorised(), "two vans");
+
+    EXPECT_EQ(reply.reason(), "stopping");
+    EXPECT_EQ(reply.run(), "not_run");
+    answer.read_to_end();
+    EXPECT_EQ(answer.text(), expected_answer("hello", 100));
+}
+
 TEST_F(reclaim_test, entry_under_notice_hands_its_requests_over)
 {
     deployment_plan plan;
--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -44,16 +44,20 @@
 
 } // namespace
 
-seen_reply call(
+caller_session::caller_session()
+    : io_(std::make_unique<net::io_context>(1))
+    , client_(std::make_unique<transport::http_client>(*io_))
+{
+}
+
+seen_reply caller_session::call(
     std::uint16_t port, std::string method, std::string target, header_list headers,
     std::string body, int limit_ms)
 {
-    net::io_context io(1);
-    transport::http_client client(io);
     auto what = call_of(std::move(method), std::move(target), std::move(headers), std::move(body));
     state::endpoint to{"127.0.0.1", port};
-    auto reply =
-        run(io, client.call(std::move(to), std::move(what), std::chrono::milliseconds{limit_ms}));
+    auto const limit = std::chrono::milliseconds{limit_ms};
+    auto reply = run(*io_, client_->call(std::move(to), std::move(what), limit));
     seen_reply seen;
     if (!reply)
         return seen;
@@ -63,6 +67,15 @@
     return seen;
 }
 
+seen_reply call(
+    std::uint16_t port, std::string method, std::string target, header_list headers,
+    std::string body, int limit_ms)
+{
+    caller_session session;
+    return session.call(
+        port, std::move(method), std::move(target), std::move(headers), std::move(body), limit_ms);
+}
+
 std::string send_raw(std::uint16_t port, std::string const& bytes, int limit_ms)
 {
     net::io_context io(1);
--- a/tests/support/caller.hpp
+++ b/tests/support/caller.hpp
@@ -32,7 +32,22 @@
     std::string run() const { return protocol::text_at(parsed(), "run"); }
 };
 
-/// Makes one call and waits for the answer.
+/// Makes calls on connections that it keeps.
+class caller_session
+{
+public:
+    caller_session();
+
+    seen_reply call(
+        std::uint16_t port, std::string method, std::string target, header_list headers = {},
+        std::string body = {}, int limit_ms = 30000);
+
+private:
+    std::unique_ptr<transport::net::io_context> io_;
+    std::unique_ptr<transport::http_client> client_;
+};
+
+/// Makes one call on a connection of its own and waits for the answer.
 seen_reply call(
     std::uint16_t port, std::string method, std::string target, header_list headers = {},
     std::string body = {}, int limit_ms = 30000);
