--- /dev/null
+++ b/src/coordination/repeat_budget.cpp
@@ -0,0 +1,34 @@
+#include "coordination/repeat_budget.hpp"
+
+namespace auburnweir::coordination
+{
+
+void repeat_budget::forget_old(history& h, state::time_point now) const
+{
+    auto const oldest = now - limits_.window;
+    for (auto* times : {&h.requests, &h.repeats})
+        while (!times->empty() && times->front() <= oldest)
+            times->pop_front();
+}
+
+void repeat_budget::record_request(state::service_id const& service, state::time_point now)
+{
+    state::ranked_lock lock(mutex_);
+    auto& h = histories_[service];
+    forget_old(h, now);
+    h.requests.push_back(now);
+}
+
+bool repeat_budget::take(state::service_id const& service, state::time_point now)
+{
+    state::ranked_lock lock(mutex_);
+    auto& h = histories_[service];
+    forget_old(h, now);
+    auto const allowed = limits_.ratio * static_cast<double>(h.requests.size()) + limits_.slack;
+    if (static_cast<double>(h.repeats.size()) + 1 > allowed)
+        return false;
+    h.repeats.push_back(now);
+    return true;
+}
+
+} // namespace auburnweir::coordination
--- /dev/null
+++ b/src/coordination/server_choice.cpp
@@ -0,0 +1,143 @@
+#include "coordination/server_choice.hpp"
+
+#include "coordination/rendezvous.hpp"
+#include "state/overloaded.hpp"
+
+#include <algorithm>
+
+namespace auburnweir::coordination
+{
+
+namespace
+{
+
+using state::server_view;
+
+/// After this time a load report says little of the present.
+constexpr state::duration report_memory = std::chrono::milliseconds{1500};
+
+/// A server that was full moments ago is avoided for so long.
+constexpr state::duration refusal_memory = std::chrono::milliseconds{300};
+
+struct loaded_server
+{
+    server_view view;
+    double load;
+};
+
+std::vector<loaded_server> with_loads(std::vector<server_view> servers, state::time_point now)
+{
+    std::vector<loaded_server> all;
+    all.reserve(servers.size());
+    for (auto& v : servers)
+    {
+        auto const load = estimated_load(v, now);
+        all.push_back({std::move(v), load});
+    }
+    return all;
+}
+
+server_view least_loaded_of(
+    std::vector<loaded_server> const& all, choice_request const& request, double far_penalty,
+    std::mt19937_64& random)
+{
+    std::uniform_real_distribution<double> tie_break(0, 0.5);
+    std::size_t best = 0;
+    double best_cost = 0;
+    for (std::size_t i = 0; i < all.size(); ++i)
+    {
+        bool const far = all[i].view.listed.failure_domain != request.home;
+        auto const cost = all[i].load + (far ? far_penalty : 0) + tie_break(random);
+        if (i == 0 || cost < best_cost)
+        {
+            best = i;
+            best_cost = cost;
+        }
+    }
+    return all[best].view;
+}
+
+bool is_full(loaded_server const& s, affinity_with_bounded_load const& policy)
+{
+    return s.load >= policy.full_share * static_cast<double>(s.view.listed.slots);
+}
+
+server_view by_affinity(
+    std::vector<loaded_server> all, choice_request const& request,
+    affinity_with_bounded_load const& policy, std::mt19937_64& random)
+{
+    std::vector<loaded_server> near;
+    for (auto const& s : all)
+        if (s.view.listed.failure_domain == request.home)
+            near.push_back(s);
+    bool const room_near =
+        std::any_of(near.begin(), near.end(), [&](auto const& s) { return !is_full(s, policy); });
+    auto candidates = room_near ? std::move(near) : std::move(all);
+    if (request.affinity.empty())
+        return least_loaded_of(candidates, request, 0, random);
+    double total = 0;
+    for (auto const& s : candidates)
+        total += s.load;
+    auto const bound =
+        policy.bound * total / static_cast<double>(candidates.size()) + policy.allowance;
+    std::sort(
+        candidates.begin(), candidates.end(),
+        [&](auto const& a, auto const& b)
+        {
+            return rendezvous_weight(request.affinity, a.view.listed.id.str()) >
+                   rendezvous_weight(request.affinity, b.view.listed.id.str());
+        });
+    for (auto const& s : candidates)
+        if (s.load <= bound && !is_full(s, policy))
+            return s.view;
+    return least_loaded_of(candidates, request, 0, random);
+}
+
+} // namespace
+
+double estimated_load(server_view const& view, state::time_point now)
+{
+    auto const own = static_cast<double>(view.sent);
+    if (!view.load)
+        return own;
+    auto const reported = static_cast<double>(view.load->running + view.load->waiting);
+    auto const age = now - view.load_at;
+    if (age > report_memory)
+        return own;
+    auto const trust = 1 - std::chrono::duration<double>(age).count() /
+                               std::chrono::duration<double>(report_memory).count();
+    return std::max(own, trust * reported + static_cast<double>(view.sent_since_load));
+}
+
+std::optional<server_view> choose_server(
+    choice_policy const& policy, std::vector<server_view> servers, choice_request const& request,
+    state::time_point now, std::mt19937_64& random)
+{
+    std::erase_if(
+        servers, [&](server_view const& v) { return request.tried.contains(v.listed.id); });
+    if (servers.empty())
+        return std::nullopt;
+    bool const some_not_refusing = std::any_of(
+        servers.begin(), servers.end(),
+        [&](server_view const& v) { return now - v.refused_at > refusal_memory; });
+    if (some_not_refusing)
+        std::erase_if(
+            servers, [&](server_view const& v) { return now - v.refused_at <= refusal_memory; });
+    auto all = with_loads(std::move(servers), now);
+    return std::visit(
+        state::overloaded{
+            [&](nearest_least_loaded const& p)
+            { return least_loaded_of(all, request, p.far_penalty, random); },
+            [&](affinity_with_bounded_load const& p)
+            { return by_affinity(std::move(all), request, p, random); }},
+        policy);
+}
+
+std::string affinity_of(state::forwarded_request const& request)
+{
+    if (request.parts.size() < 2)
+        return {};
+    return request.parts[request.parts.size() - 2].id;
+}
+
+} // namespace auburnweir::coordination
--- a/src/programs/entry.cpp
+++ b/src/programs/entry.cpp
@@ -1,13 +1,12 @@
 #include "programs/command_line.hpp"
+#include "programs/program_support.hpp"
 #include "protocol/entry_settings.hpp"
 #include "protocol/service_text.hpp"
 #include "transport/entry_server.hpp"
 #include "transport/log.hpp"
 
 #include <cstdio>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 
 /// auburnweir-entry: takes callers' requests and sees them through.
 
@@ -16,9 +15,10 @@
 
 using namespace auburnweir;
 
-constexpr int exit_ok = 0;
-constexpr int exit_failed = 1;
-constexpr int exit_usage = 2;
+using programs::exit_failed;
+using programs::exit_ok;
+using programs::exit_usage;
+using programs::read_file;
 
 struct arguments
 {
@@ -30,18 +30,6 @@
     long long seed = -1;
 };
 
-/// Reads a file; a missing one is a finding.
-std::string read_file(std::string const& path, state::findings& out)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file)
-    {
-        out.push_back({path, 0, "", "can't be read"});
-        return {};
-    }
-    return {std::istreambuf_iterator<char>(file), {}};
-}
-
 struct loaded
 {
     std::optional<protocol::entry_settings> settings;
--- a/src/protocol/entry_settings.cpp
+++ b/src/protocol/entry_settings.cpp
@@ -1,5 +1,6 @@
 #include "protocol/entry_settings.hpp"
 
+#include "protocol/option_kinds.hpp"
 #include "protocol/option_reference.hpp"
 #include "protocol/option_table.hpp"
 
@@ -11,73 +12,6 @@
 
 using settings = entry_settings;
 
-option<settings> milliseconds_option(
-    std::string key, std::string description, std::string default_value, std::int64_t low,
-    std::int64_t high, state::duration settings::*member)
-{
-    return number_option<std::int64_t, settings>(
-        std::move(key), std::move(description), std::move(default_value), low, high,
-        [member](settings& s, std::int64_t v) { s.*member = std::chrono::milliseconds{v}; });
-}
-
-option<settings> count_option(
-    std::string key, std::string description, std::string default_value, std::int64_t low,
-    std::int64_t high, std::int64_t settings::*member)
-{
-    return number_option<std::int64_t, settings>(
-        std::move(key), std::move(description), std::move(default_value), low, high,
-        [member](settings& s, std::int64_t v) { s.*member = v; });
-}
-
-template <class Id>
-option<settings> id_option(std::string key, std::string description, Id settings::*member)
-{
-    return text_option<settings>(
-        std::move(key), std::move(description), "", "identifier", true,
-        [member](settings& s, std::string const& v) -> value_fault
-        {
-            if (!is_identifier(v))
-                return "'" + v + "' is not an identifier";
-            s.*member = Id{v};
-            return std::nullopt;
-        });
-}
-
-option<settings> endpoint_option(
-    std::string key, std::string description, std::string default_value,
-    state::endpoint settings::*member)
-{
-    bool const required = default_value.empty();
-    return text_option<settings>(
-        std::move(key), std::move(description), std::move(default_value), "host:port", required,
-        [member](settings& s, std::string const& v) -> value_fault
-        {
-            auto const parsed = parse_endpoint(v);
-            if (!parsed)
-                return "'" + v + "' is not an IP number and port";
-            s.*member = *parsed;
-            return std::nullopt;
-        });
-}
-
-option<settings> choice_option(
-    std::string key, std::string description, std::string default_value,
-    std::vector<std::string> const& choices, std::string settings::*member)
-{
-    std::string range;
-    for (auto const& c : choices)
-        range += (range.empty() ? "" : ", ") + c;
-    return text_option<settings>(
-        std::move(key), std::move(description), std::move(default_value), range, false,
-        [member, choices, range](settings& s, std::string const& v) -> value_fault
-        {
-            if (std::find(choices.begin(), choices.end(), v) == choices.end())
-                return "'" + v + "' is not one of " + range;
-            s.*member = v;
-            return std::nullopt;
-        });
-}
-
 option<settings> peer_key_option()
 {
     constexpr std::size_t shortest = 16;
@@ -187,24 +121,7 @@
 std::optional<entry_settings> read_entry_settings(
     std::string_view text, std::string const& file, state::findings& out)
 {
-    auto const document = parse_ini(text, file, out);
-    entry_settings result;
-    bool found = false;
-    for (auto const& section : document)
-    {
-        if (section.title() != "entry")
-            out.push_back({file, section.line, section.title(), "unknown section"});
-        else if (found)
-            out.push_back({file, section.line, section.title(), "section stands twice"});
-        else
-            apply_section(section, entry_options(), file, result, out);
-        found = found || section.title() == "entry";
-    }
-    if (!found)
-        out.push_back({file, 0, "entry", "section is missing"});
-    if (!out.empty())
-        return std::nullopt;
-    return result;
+    return read_single_section(text, file, "entry", entry_options(), out);
 }
 
 std::string entry_settings_reference()
--- /dev/null
+++ b/src/protocol/gateway_settings.cpp
@@ -0,0 +1,112 @@
+#include "protocol/gateway_settings.hpp"
+
+#include "protocol/option_kinds.hpp"
+#include "protocol/option_reference.hpp"
+
+namespace auburnweir::protocol
+{
+
+namespace
+{
+
+using settings = gateway_settings;
+
+option_table<settings> const& gateway_options()
+{
+    static option_table<settings> const table{
+        id_option("id", "name of this instance, unique at any time", &settings::id),
+        id_option("failure_domain", "failure domain that it stands in", &settings::failure_domain),
+        endpoint_option("listen", "address for callers", "127.0.0.1:0", &settings::listen),
+        endpoint_option(
+            "ready_listen", "address for readiness probes", "127.0.0.1:0", &settings::ready_listen),
+        text_option<settings>(
+            "ready_path", "path of readiness probes", "/readyz", "path", false,
+            [](settings& s, std::string const& v) -> value_fault
+            {
+                if (v.empty() || v.front() != '/')
+                    return "'" + v + "' is not a path";
+                s.ready_path = v;
+                return std::nullopt;
+            }),
+        endpoint_option(
+            "metrics_listen", "address that serves /metrics", "127.0.0.1:0",
+            &settings::metrics_listen),
+        endpoint_option("store", "address of the platform's store", "", &settings::store),
+        endpoint_option(
+            "fleet", "address of the platform's calls for usage and orders", "", &settings::fleet),
+        choice_option(
+            "log_level", "least severe events that are logged", "info",
+            {"debug", "info", "warning", "error"}, &settings::log_level),
+        count_option("workers", "worker threads", "1", 1, 64, &settings::workers),
+        count_option(
+            "most_instances", "instances that there may be at once; divides shared limits", "12", 1,
+            1000, &settings::most_instances),
+        number_option<double, settings>(
+            "repeat_ratio", "repeated sends for each request, over all instances", "0.2", 0.0, 1.0,
+            [](settings& s, double v) { s.repeat_ratio = v; }),
+        number_option<double, settings>(
+            "repeat_slack", "repeated sends beyond the ratio in a window, over all instances", "50",
+            0.0, 100000.0, [](settings& s, double v) { s.repeat_slack = v; }),
+        number_option<double, settings>(
+            "repeat_window_s", "window of the limit on repeated sends", "10", 0.1, 3600.0,
+            [](settings& s, double v)
+            {
+                s.repeat_window =
+                    std::chrono::duration_cast<state::duration>(std::chrono::duration<double>(v));
+            }),
+        milliseconds_option(
+            "revocation_bound_ms", "time after which a withdrawn key may run nothing", "5000", 100,
+            600000, &settings::revocation_bound),
+        milliseconds_option(
+            "configuration_bound_ms", "time in which a new configuration is in force", "3000", 100,
+            600000, &settings::configuration_bound),
+        milliseconds_option(
+            "stop_grace_ms", "time between the order to stop and the kill", "8000", 0, 600000,
+            &settings::stop_grace),
+        milliseconds_option(
+            "usage_window_ms", "length of a window of reported usage", "5000", 100, 3600000,
+            &settings::usage_window),
+        milliseconds_option(
+            "usage_delay_ms", "time after a window's end at which its report is due", "10000", 100,
+            3600000, &settings::usage_delay),
+        milliseconds_option(
+            "lease_bound_ms", "time in which two holders of a duty must not alternate", "3000", 100,
+            600000, &settings::lease_bound),
+        milliseconds_option(
+            "store_timeout_ms", "time for the store to answer a call", "1000", 10, 60000,
+            &settings::store_timeout),
+        milliseconds_option(
+            "watch_wait_ms", "longest that the store holds a watch open", "1500", 0, 30000,
+            &settings::watch_wait),
+        milliseconds_option(
+            "directory_period_ms", "time between looks for changed backend servers", "700", 50,
+            60000, &settings::directory_period),
+        milliseconds_option(
+            "report_period_ms", "time between reports to the other instances", "1000", 50, 60000,
+            &settings::report_period),
+        milliseconds_option(
+            "connect_timeout_ms", "time for a backend server to accept a connection", "400", 10,
+            60000, &settings::connect_timeout),
+        milliseconds_option(
+            "write_timeout_ms", "time for a caller to take one part of an answer", "10000", 100,
+            600000, &settings::write_timeout),
+        milliseconds_option(
+            "body_timeout_ms", "time for a caller to send a request body", "15000", 100, 600000,
+            &settings::body_timeout)};
+    return table;
+}
+
+} // namespace
+
+std::optional<gateway_settings> read_gateway_settings(
+    std::string_view text, std::string const& file, state::findings& out)
+{
+    return read_single_section(text, file, "gateway", gateway_options(), out);
+}
+
+std::string gateway_settings_reference()
+{
+    return option_reference("gateway", gateway_options());
+}
+
+} // namespace auburnweir::protocol
--- /dev/null
+++ b/src/protocol/gateway_settings.hpp
@@ -0,0 +1,60 @@
+#ifndef AUBURNWEIR_PROTOCOL_GATEWAY_SETTINGS_HPP
+#define AUBURNWEIR_PROTOCOL_GATEWAY_SETTINGS_HPP
+
+#include "state/configuration.hpp"
+#include "state/finding.hpp"
+#include "state/ids.hpp"
+#include "state/time.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace auburnweir::protocol
+{
+
+/// Settings of one `auburnweir-gateway` process. Meanings, defaults and ranges stand in the option
+/// table of the .cpp file and in docs/OPERATIONS.md.
+struct gateway_settings
+{
+    state::instance_id id;
+    state::failure_domain_id failure_domain;
+    state::endpoint listen;
+    state::endpoint ready_listen;
+    std::string ready_path;
+    state::endpoint metrics_listen;
+    state::endpoint store;
+    state::endpoint fleet;
+    std::string log_level;
+
+    std::int64_t workers = 0;
+    std::int64_t most_instances = 0;
+    double repeat_ratio = 0;
+    double repeat_slack = 0;
+    state::duration repeat_window{0};
+    state::duration revocation_bound{0};
+    state::duration configuration_bound{0};
+    state::duration stop_grace{0};
+    state::duration usage_window{0};
+    state::duration usage_delay{0};
+    state::duration lease_bound{0};
+    state::duration store_timeout{0};
+    state::duration watch_wait{0};
+    state::duration directory_period{0};
+    state::duration report_period{0};
+    state::duration connect_timeout{0};
+    state::duration write_timeout{0};
+    state::duration body_timeout{0};
+};
+
+/// Reads a `[gateway]` text. All findings are appended to `out`.
+/// @return null when there is any finding
+std::optional<gateway_settings> read_gateway_settings(
+    std::string_view text, std::string const& file, state::findings& out);
+
+/// The options with description, default and range, as a Markdown table.
+std::string gateway_settings_reference();
+
+} // namespace auburnweir::protocol
+
+#endif
--- a/src/protocol/metrics_text.cpp
+++ b/src/protocol/metrics_text.cpp
@@ -42,4 +42,21 @@
            std::to_string(value) + "\n";
 }
 
+void append_histogram(
+    std::string& out, std::string const& name, state::latency_histogram const& histogram)
+{
+    auto const full = "auburnweir_" + name;
+    out += "# TYPE " + full + " histogram\n";
+    std::uint64_t total = 0;
+    for (std::size_t i = 0; i < state::latency_classes; ++i)
+    {
+        total += histogram.count(i);
+        bool const last = i + 1 == state::latency_classes;
+        auto const bound = last ? "+Inf" : std::to_string(state::latency_class_bound_seconds(i));
+        out += full + "_bucket{le=\"" + bound + "\"} " + std::to_string(total) + "\n";
+    }
+    out += full + "_sum " + std::to_string(histogram.sum_seconds()) + "\n";
+    out += full + "_count " + std::to_string(total) + "\n";
+}
+
 } // namespace auburnweir::protocol
--- a/src/protocol/problem.cpp
+++ b/src/protocol/problem.cpp
@@ -33,6 +33,7 @@
     case r::unknown_service:
     case r::unknown_operation:
     case r::unknown_request:
+    case r::unknown_route:
     case r::caller_left:
         return 404;
     case r::sender_too_slow:
@@ -46,6 +47,7 @@
     case r::key_reused:
         return 422;
     case r::queue_full:
+    case r::quota_exceeded:
         return 429;
     case r::header_too_large:
         return 431;
@@ -58,6 +60,9 @@
     case r::no_backend:
     case r::store_unavailable:
     case r::stopping:
+    case r::configuration_unknown:
+    case r::configuration_stale:
+    case r::backend_full:
     case r::count_:
         break;
     }
--- a/src/state/ids.hpp
+++ b/src/state/ids.hpp
@@ -20,6 +20,9 @@
 using region_id = strong_id<struct region_tag>;
 using version_id = strong_id<struct version_tag>;
 
+/// Kind of call, such as a path prefix or an operation's name.
+using route_id = strong_id<struct route_tag>;
+
 /// Key under which a caller asks for an operation at most once.
 using idempotency_key = strong_id<struct idempotency_key_tag>;
 
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -31,6 +31,11 @@
     resume_point_unknown,
     stopping,
     caller_left,
+    unknown_route,
+    quota_exceeded,
+    configuration_unknown,
+    configuration_stale,
+    backend_full,
     count_
 };
 
@@ -44,6 +49,7 @@
     stream_stalled,
     backend_leaving,
     not_run_by_backend,
+    other_backend_at_address,
     count_
 };
 
@@ -82,6 +88,12 @@
     backend_attempts,
     backends_ejected,
     prefix_hits,
+    requests_forwarded,
+    streams_resumed,
+    late_answers_dropped,
+    usage_reports_sent,
+    fleet_orders_sent,
+    store_calls,
     count_
 };
 
--- /dev/null
+++ b/src/state/server_table.cpp
@@ -0,0 +1,193 @@
+#include "state/server_table.hpp"
+
+namespace auburnweir::state
+{
+
+namespace
+{
+constexpr double failure_smoothing = 0.1; ///< weight of the latest request
+} // namespace
+
+server_table::change server_table::apply(listed_server const& listed, time_point now)
+{
+    ranked_lock lock(mutex_);
+    auto& e = entries_[listed.id];
+    bool const other_life = e.view.listed.id.empty() || e.view.listed.life != listed.life ||
+                            e.view.listed.address != listed.address;
+    if (other_life)
+    {
+        e = entry{};
+        e.view.known_since = now;
+    }
+    e.view.missing_since.reset();
+    e.view.listed = listed;
+    bool const newly_leaving = listed.draining && !e.leaving;
+    e.leaving = e.leaving || listed.draining;
+    if (newly_leaving)
+        return change::leaving;
+    return other_life ? change::added : change::none;
+}
+
+server_table::change server_table::drop(backend_id const& id, bool keep, time_point now)
+{
+    ranked_lock lock(mutex_);
+    auto const it = entries_.find(id);
+    if (it == entries_.end())
+        return change::none;
+    if (keep && !it->second.leaving)
+    {
+        if (!it->second.view.missing_since)
+            it->second.view.missing_since = now;
+        return change::missing;
+    }
+    entries_.erase(it);
+    return change::removed;
+}
+
+std::vector<backend_id> server_table::expire_missing(time_point now, duration grace)
+{
+    ranked_lock lock(mutex_);
+    std::vector<backend_id> gone;
+    for (auto it = entries_.begin(); it != entries_.end();)
+    {
+        auto const& since = it->second.view.missing_since;
+        if (since && now - *since > grace)
+        {
+            gone.push_back(it->first);
+            it = entries_.erase(it);
+        }
+        else
+            ++it;
+    }
+    return gone;
+}
+
+std::vector<backend_id> server_table::names() const
+{
+    ranked_lock lock(mutex_);
+    std::vector<backend_id> all;
+    for (auto const& [id, e] : entries_)
+        all.push_back(id);
+    return all;
+}
+
+bool server_table::mark_leaving(backend_id const& id)
+{
+    ranked_lock lock(mutex_);
+    auto const it = entries_.find(id);
+    if (it == entries_.end() || it->second.leaving)
+        return false;
+    it->second.leaving = true;
+    return true;
+}
+
+std::vector<server_view> server_table::usable(service_id const& service, time_point now) const
+{
+    ranked_lock lock(mutex_);
+    std::vector<server_view> result;
+    std::vector<server_view> ejected;
+    for (auto const& [id, e] : entries_)
+    {
+        if (e.view.listed.service != service || e.leaving)
+            continue;
+        bool const out = e.view.ejected_until && *e.view.ejected_until > now;
+        (out ? ejected : result).push_back(e.view);
+    }
+    return result.empty() ? ejected : result;
+}
+
+std::vector<server_view> server_table::all(service_id const& service) const
+{
+    ranked_lock lock(mutex_);
+    std::vector<server_view> result;
+    for (auto const& [id, e] : entries_)
+        if (e.view.listed.service == service)
+            result.push_back(e.view);
+    return result;
+}
+
+std::vector<server_view> server_table::snapshot() const
+{
+    ranked_lock lock(mutex_);
+    std::vector<server_view> result;
+    for (auto const& [id, e] : entries_)
+    {
+        result.push_back(e.view);
+        result.back().listed.draining = e.leaving;
+    }
+    return result;
+}
+
+std::optional<server_view> server_table::view(backend_id const& id) const
+{
+    ranked_lock lock(mutex_);
+    auto const it = entries_.find(id);
+    if (it == entries_.end())
+        return std::nullopt;
+    auto copy = it->second.view;
+    copy.listed.draining = it->second.leaving;
+    return copy;
+}
+
+void server_table::sent(backend_id const& id)
+{
+    ranked_lock lock(mutex_);
+    auto const it = entries_.find(id);
+    if (it == entries_.end())
+        return;
+    ++it->second.view.sent;
+    ++it->second.view.sent_since_load;
+}
+
+void server_table::loaded(backend_id const& id, load_report report, time_point now)
+{
+    ranked_lock lock(mutex_);
+    auto const it = entries_.find(id);
+    if (it == entries_.end())
+        return;
+    it->second.view.load = report;
+    it->second.view.load_at = now;
+    it->second.view.sent_since_load = 0;
+}
+
+std::optional<server_view> server_table::ended(
+    backend_id const& id, server_outcome outcome, time_point now)
+{
+    ranked_lock lock(mutex_);
+    auto const it = entries_.find(id);
+    if (it == entries_.end())
+        return std::nullopt;
+    auto& v = it->second.view;
+    v.sent = std::max<std::int64_t>(0, v.sent - 1);
+    switch (outcome)
+    {
+    case server_outcome::answered:
+        v.failures_in_row = 0;
+        v.failure_share *= 1 - failure_smoothing;
+        break;
+    case server_outcome::failed:
+    case server_outcome::unreached:
+        ++v.failures_in_row;
+        v.failure_share += failure_smoothing * (1 - v.failure_share);
+        break;
+    case server_outcome::refused:
+        v.refused_at = now;
+        break;
+    case server_outcome::abandoned:
+        break;
+    }
+    return v;
+}
+
+void server_table::eject(backend_id const& id, time_point until)
+{
+    ranked_lock lock(mutex_);
+    auto const it = entries_.find(id);
+    if (it == entries_.end())
+        return;
+    it->second.view.ejected_until = until;
+    it->second.view.failures_in_row = 0;
+    ++it->second.view.ejections;
+}
+
+} // namespace auburnweir::state
--- a/src/state/version_evidence.cpp
+++ b/src/state/version_evidence.cpp
@@ -20,6 +20,11 @@
     return std::min(static_cast<std::size_t>(std::ceil(steps)), latency_classes - 1);
 }
 
+double latency_class_bound_seconds(std::size_t latency_class)
+{
+    return first_bound_seconds * std::pow(bound_ratio, static_cast<double>(latency_class));
+}
+
 void outcome_counts::add(outcome_counts const& other)
 {
     succeeded += other.succeeded;
--- a/src/state/version_evidence.hpp
+++ b/src/state/version_evidence.hpp
@@ -11,15 +11,15 @@
 namespace auburnweir::state
 {
 
-/// Kind of call whose outcomes are compared between versions, such as an operation's name.
-using route_id = strong_id<struct route_tag>;
-
 /// Upper bounds of the latency classes, each 1.5 times the one before, from 1 ms on.
 constexpr std::size_t latency_classes = 32;
 
 /// Class of a latency in seconds.
 std::size_t latency_class(double seconds);
 
+/// Upper bound of a class; the last class has none.
+double latency_class_bound_seconds(std::size_t latency_class);
+
 /// Counts of one version on one route; sums of counts of several instances are counts again.
 struct outcome_counts
 {
--- a/src/transport/caller_connection.cpp
+++ b/src/transport/caller_connection.cpp
@@ -4,6 +4,7 @@
 #include "protocol/metrics_text.hpp"
 #include "state/overloaded.hpp"
 #include "transport/clock.hpp"
+#include "transport/request_fault.hpp"
 
 namespace auburnweir::transport
 {
@@ -44,25 +45,6 @@
     return raw;
 }
 
-refusal_reason reason_of(error_code const& fault)
-{
-    if (fault == beast::error::timeout)
-        return refusal_reason::sender_too_slow;
-    if (fault == http::error::header_limit || fault == http::error::buffer_overflow)
-        return refusal_reason::header_too_large;
-    if (fault == http::error::body_limit)
-        return refusal_reason::body_too_large;
-    return refusal_reason::malformed_request;
-}
-
-/// The other side closed or reset the connection: there is nobody to answer.
-bool is_gone(error_code const& fault)
-{
-    return fault == http::error::end_of_stream || fault == http::error::partial_message ||
-           fault == net::error::connection_reset || fault == net::error::operation_aborted ||
-           fault == net::error::broken_pipe;
-}
-
 } // namespace
 
 net::awaitable<bool> refuse(caller_call& call, protocol::problem p)
@@ -102,7 +84,7 @@
     writer_.keep_alive(false);
     if (is_gone(fault))
         co_return false;
-    protocol::problem p{reason_of(fault), run_outcome::not_run, fault.message(), {}, {}};
+    protocol::problem p{unread_reason(fault), run_outcome::not_run, fault.message(), {}, {}};
     co_return co_await send_problem(std::move(p));
 }
 
--- a/src/transport/caller_listener.cpp
+++ b/src/transport/caller_listener.cpp
@@ -1,7 +1,6 @@
 #include "transport/caller_listener.hpp"
 
 #include "transport/async_signal.hpp"
-#include "transport/caller_connection.hpp"
 
 namespace auburnweir::transport
 {
@@ -11,9 +10,10 @@
 constexpr state::duration accept_failure_pause = std::chrono::milliseconds{50};
 } // namespace
 
-caller_listener::caller_listener(entry_context& context)
-    : context_(context)
-    , acceptor_(context.workers.at(0).io())
+caller_listener::caller_listener(worker_pool& workers, connection_handler on_connection)
+    : workers_(workers)
+    , on_connection_(std::move(on_connection))
+    , acceptor_(workers.at(0).io())
 {
 }
 
@@ -36,13 +36,13 @@
 
 void caller_listener::start()
 {
-    net::co_spawn(context_.workers.at(0).io(), run(), net::detached);
+    net::co_spawn(workers_.at(0).io(), run(), net::detached);
 }
 
 void caller_listener::close()
 {
     net::post(
-        context_.workers.at(0).io(),
+        workers_.at(0).io(),
         [this]
         {
             error_code ignored;
@@ -54,19 +54,19 @@
 {
     while (acceptor_.is_open())
     {
-        auto& home = context_.workers.next();
+        auto& home = workers_.next();
         tcp::socket socket(home.io());
         error_code fault;
         co_await acceptor_.async_accept(socket, net::redirect_error(net::use_awaitable, fault));
         if (fault)
         {
-            co_await sleep_for(context_.workers.at(0).io(), accept_failure_pause);
+            co_await sleep_for(workers_.at(0).io(), accept_failure_pause);
             continue;
         }
         socket.set_option(tcp::no_delay(true), fault);
-        auto const connection =
-            std::make_shared<caller_connection>(context_, home, std::move(socket));
-        net::post(home.io(), [connection] { connection->start(); });
+        net::post(
+            home.io(), [this, &home, s = std::make_shared<tcp::socket>(std::move(socket))]
+            { on_connection_(home, std::move(*s)); });
     }
 }
 
--- a/src/transport/caller_listener.hpp
+++ b/src/transport/caller_listener.hpp
@@ -1,16 +1,21 @@
 #ifndef AUBURNWEIR_TRANSPORT_CALLER_LISTENER_HPP
 #define AUBURNWEIR_TRANSPORT_CALLER_LISTENER_HPP
 
-#include "transport/entry_context.hpp"
+#include "transport/worker_pool.hpp"
+
+#include <functional>
 
 namespace auburnweir::transport
 {
 
-/// Accepts callers' connections and deals them out to the workers.
+/// Accepts connections and deals them out to the workers.
 class caller_listener
 {
 public:
-    explicit caller_listener(entry_context& context);
+    /// Takes a connection on the worker's own thread.
+    using connection_handler = std::function<void(worker&, tcp::socket)>;
+
+    caller_listener(worker_pool& workers, connection_handler on_connection);
 
     /// @return the port, or 0 when the address can't be had
     std::uint16_t listen(state::endpoint const& address);
@@ -23,7 +28,8 @@
 private:
     net::awaitable<void> run();
 
-    entry_context& context_;
+    worker_pool& workers_;
+    connection_handler on_connection_;
     tcp::acceptor acceptor_;
 };
 
--- a/src/transport/clock.hpp
+++ b/src/transport/clock.hpp
@@ -3,14 +3,20 @@
 
 #include "state/time.hpp"
 
+#include <ctime>
+
 namespace auburnweir::transport
 {
 
-/// Monotonic time, for decisions within this process.
+/// Monotonic time, for decisions within this process. It counts the time in which the machine was
+/// suspended, unlike `std::chrono::steady_clock`, so that leases end there too.
 inline state::time_point now()
 {
-    auto const since = std::chrono::steady_clock::now().time_since_epoch();
-    return state::time_point{std::chrono::duration_cast<state::duration>(since)};
+    timespec t{};
+    clock_gettime(CLOCK_BOOTTIME, &t);
+    return state::time_point{
+        std::chrono::seconds{t.tv_sec} +
+        std::chrono::duration_cast<state::duration>(std::chrono::nanoseconds{t.tv_nsec})};
 }
 
 /// Wall-clock time, for records that other instances read.
--- a/src/transport/entry_server.cpp
+++ b/src/transport/entry_server.cpp
@@ -1,6 +1,7 @@
 #include "transport/entry_server.hpp"
 
 #include "transport/backend_poll.hpp"
+#include "transport/caller_connection.hpp"
 #include "transport/caller_listener.hpp"
 #include "transport/clock.hpp"
 #include "transport/entry_context.hpp"
@@ -69,7 +70,9 @@
         , platform(context, [this](state::duration left) { begin_stop(left); })
         , engines(context)
         , reviews(context)
-        , listener(context)
+        , listener(
+              workers, [this](worker& home, tcp::socket socket)
+              { std::make_shared<caller_connection>(context, home, std::move(socket))->start(); })
         , signals(workers.at(0).io(), SIGTERM, SIGINT)
     {
     }
--- /dev/null
+++ b/src/transport/event_splitter.hpp
@@ -0,0 +1,58 @@
+#ifndef AUBURNWEIR_TRANSPORT_EVENT_SPLITTER_HPP
+#define AUBURNWEIR_TRANSPORT_EVENT_SPLITTER_HPP
+
+#include <string>
+#include <string_view>
+
+namespace auburnweir::transport
+{
+
+/// Cuts an event stream at the ends of its events and leaves their bytes as they are.
+class event_splitter
+{
+public:
+    void feed(std::string_view bytes) { waiting_.append(bytes); }
+
+    /// All whole events that have come since the last call; empty when there is none.
+    std::string take_whole()
+    {
+        auto const end = waiting_.rfind("\n\n");
+        if (end == std::string::npos)
+            return {};
+        std::string whole = waiting_.substr(0, end + 2);
+        waiting_.erase(0, end + 2);
+        note_ids(whole);
+        return whole;
+    }
+
+    /// What is left when the stream has ended: not an event, but a part of the answer.
+    std::string take_rest() { return std::exchange(waiting_, {}); }
+
+    /// Id of the last whole event; empty before the first.
+    std::string const& last_id() const { return last_id_; }
+
+private:
+    void note_ids(std::string_view events)
+    {
+        constexpr std::string_view field = "id:";
+        for (std::size_t begin = 0; begin < events.size();)
+        {
+            auto const end = events.find('\n', begin);
+            auto line = events.substr(begin, end - begin);
+            begin = end == std::string_view::npos ? events.size() : end + 1;
+            if (!line.starts_with(field))
+                continue;
+            line.remove_prefix(field.size());
+            if (line.starts_with(' '))
+                line.remove_prefix(1);
+            last_id_ = std::string{line};
+        }
+    }
+
+    std::string waiting_;
+    std::string last_id_;
+};
+
+} // namespace auburnweir::transport
+
+#endif
--- /dev/null
+++ b/src/transport/forwarder.cpp
@@ -0,0 +1,553 @@
+#include "transport/forwarder.hpp"
+
+#include "coordination/ejection_policy.hpp"
+#include "state/overloaded.hpp"
+#include "transport/event_splitter.hpp"
+#include "transport/log.hpp"
+
+#include <charconv>
+
+namespace auburnweir::transport
+{
+
+namespace
+{
+
+using coordination::attempt_failed;
+using coordination::attempt_lost;
+using coordination::attempt_not_run;
+using state::refusal_reason;
+using state::retry_reason;
+using state::server_outcome;
+
+/// Largest answer that is held in memory before it is passed on, in bytes.
+constexpr std::size_t most_held_answer = 16 * 1024 * 1024;
+
+/// Kept connections that were idle for longer are not used for requests that must not run twice:
+/// a server that closes one at that moment leaves open whether it took the request.
+constexpr state::duration longest_idle_at_most_once = std::chrono::milliseconds{1000};
+
+/// A resumable stream that is silent for longer goes on elsewhere.
+constexpr state::duration longest_silence = std::chrono::milliseconds{1500};
+
+/// When a refused caller may come back, by cause.
+constexpr state::duration retry_when_full = std::chrono::milliseconds{400};
+constexpr state::duration retry_when_unready = std::chrono::milliseconds{700};
+
+/// Part of a freshness bound that is kept in hand for the way from the check to the server.
+constexpr state::duration freshness_margin = std::chrono::milliseconds{400};
+
+constexpr int first_error_status = 500;
+constexpr int status_too_many = 429;
+constexpr int status_unavailable = 503;
+
+std::string text_of(state::duration d)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+}
+
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+/// Statuses that promise that the request has not run; only the gateway itself may promise that.
+bool promises_not_run(int status)
+{
+    return status == status_too_many || status == status_unavailable || status == 408 ||
+           status == 421;
+}
+
+std::string seconds_with_fraction(state::duration d)
+{
+    auto const ms = std::chrono::ceil<std::chrono::milliseconds>(d).count();
+    auto const fraction = std::to_string(1000 + ms % 1000).substr(1);
+    return std::to_string(ms / 1000) + "." + fraction;
+}
+
+} // namespace
+
+forwarder::forwarder(
+    gateway_context& context, worker& home, beast::tcp_stream& caller, reply_writer& writer,
+    caller_request request, state::time_point arrived)
+    : context_(context)
+    , home_(home)
+    , caller_(caller)
+    , writer_(writer)
+    , request_(std::move(request))
+    , arrived_(arrived)
+{
+}
+
+state::duration forwarder::time_left() const
+{
+    return deadline_ - now();
+}
+
+void forwarder::refuse(refusal_reason reason, state::duration retry_after, std::string detail)
+{
+    protocol::problem p;
+    p.reason = reason;
+    p.detail = std::move(detail);
+    p.request = head_.id;
+    if (retry_after > state::duration::zero())
+        p.retry_after = retry_after;
+    refusal_ = std::move(p);
+}
+
+bool forwarder::admit()
+{
+    auto& tables = context_.tables;
+    routes_ = tables.routes.current();
+    routes_age_ = tables.routes.age(arrived_);
+    if (!routes_)
+    {
+        refuse(refusal_reason::configuration_unknown, retry_when_unready, "");
+        return false;
+    }
+    std::string fault;
+    auto head = context_.ports.dialect.decode(request_, fault);
+    if (!head)
+    {
+        refuse(refusal_reason::malformed_request, {}, fault);
+        return false;
+    }
+    head_ = std::move(*head);
+    auto const target = request_.target();
+    std::string_view const path{target.data(), target.size()};
+    auto const host = request_[http::field::host];
+    route_ = routes_->find({host.data(), host.size()}, path.substr(0, path.find('?')));
+    if (!route_)
+    {
+        bool const fresh = routes_age_ <= context_.settings.configuration_bound - freshness_margin;
+        if (fresh)
+            refuse(refusal_reason::unknown_route, {}, "");
+        else
+            refuse(refusal_reason::configuration_stale, retry_when_unready, "");
+        return false;
+    }
+    service_ = route_->target_of(head_.id.str());
+    deadline_ = arrived_ + route_->timeout;
+    if (head_.patience)
+        deadline_ = std::min(deadline_, arrived_ + *head_.patience);
+    progress_.repeat = route_->repeat;
+    progress_.most_attempts = route_->most_attempts;
+    resume_after_ = head_.resume_after;
+    return admit_key() && admit_quota();
+}
+
+bool forwarder::admit_key()
+{
+    if (!routes_->keys_required())
+        return true;
+    organisation_ = routes_->organisation_of_key(head_.key);
+    bool const needed = !route_->anonymous || organisation_;
+    if (!needed)
+        return true;
+    auto const& settings = context_.settings;
+    if (organisation_ && routes_age_ <= settings.revocation_bound - freshness_margin)
+        return true;
+    if (organisation_)
+        refuse(refusal_reason::configuration_stale, retry_when_unready, "");
+    else if (routes_age_ <= settings.configuration_bound - freshness_margin)
+        refuse(refusal_reason::unauthorised, {}, "");
+    else
+        refuse(refusal_reason::configuration_stale, retry_when_unready, "");
+    return false;
+}
+
+bool forwarder::admit_quota()
+{
+    if (!organisation_)
+        return true;
+    auto const tokens =
+        head_.counted ? head_.prompt + head_.most_output : organisation_->tokens_if_unknown;
+    quota_cost_ = organisation_->in_tokens ? static_cast<double>(tokens.count()) : 1;
+    auto const decision = context_.tables.quotas.ask(*organisation_, quota_cost_, arrived_);
+    auto const* exceeded = std::get_if<coordination::quota_exceeded>(&decision);
+    if (exceeded)
+        refuse(refusal_reason::quota_exceeded, exceeded->retry_after, "");
+    return !exceeded;
+}
+
+net::awaitable<void> forwarder::run()
+{
+    if (!admit())
+    {
+        co_await refuse_now();
+        co_return;
+    }
+    context_.tables.counters.increment(state::event_counter::requests_accepted);
+    context_.tables.repeats.record_request(service_, arrived_);
+    caller_watch watch(caller_.socket(), cancel_);
+    co_await attempts();
+    if (!watch.caller_left() && !caller_left_)
+        co_return;
+    writer_.keep_alive(false);
+    context_.tables.counters.increment(state::event_counter::callers_left);
+    log(log_event::caller_left, {{"request", head_.id.str()},
+                                 {"route", route_->id.str()},
+                                 {"after_ms", text_of(now() - arrived_)},
+                                 {"sends", std::to_string(progress_.sends)}});
+}
+
+net::awaitable<void> forwarder::attempts()
+{
+    while (!done_ && !cancel_->cancelled())
+    {
+        auto& servers = context_.tables.servers;
+        auto const usable = servers.usable(service_, now());
+        coordination::choice_request wanted;
+        wanted.home = context_.settings.failure_domain;
+        wanted.tried = tried_;
+        coordination::choice_policy policy = coordination::nearest_least_loaded{};
+        if (route_->carries_prompt)
+        {
+            policy = coordination::affinity_with_bounded_load{};
+            wanted.affinity = coordination::affinity_of(head_);
+        }
+        auto const server =
+            coordination::choose_server(policy, usable, wanted, now(), home_.random());
+        if (!server)
+        {
+            if (progress_.may_have_run > 0)
+                co_await finish_unknown(refusal_reason::backend_failed);
+            else
+                co_await finish_not_run(refusal_reason::no_backend);
+            co_return;
+        }
+        co_await attempt(*server);
+    }
+}
+
+outgoing_head forwarder::outgoing(state::server_view const& server) const
+{
+    outgoing_head own;
+    own.expected = server.listed.id;
+    own.time_left = time_left();
+    if (organisation_)
+        own.organisation = organisation_->id;
+    if (route_->carries_prompt)
+        own.urgency =
+            organisation_ && organisation_->urgency ? *organisation_->urgency : route_->urgency;
+    own.resume_after = resume_after_;
+    return own;
+}
+
+net::awaitable<void> forwarder::attempt(state::server_view const& server)
+{
+    http_call call;
+    auto const method = request_.method_string();
+    auto const target = request_.target();
+    call.method = std::string{method.data(), method.size()};
+    call.target = std::string{target.data(), target.size()};
+    call.headers = context_.ports.dialect.encode(request_, head_, outgoing(server));
+    call.body = request_.body();
+
+    call_policy policy;
+    policy.limit = time_left();
+    policy.connect_limit = context_.settings.connect_timeout;
+    policy.cancel = cancel_;
+    if (route_->repeat == state::repeat_rule::at_most_once)
+        policy.longest_idle = longest_idle_at_most_once;
+    policy.is_answer = [this](http_fields const& fields)
+    { return context_.ports.dialect.decode_answer(0, fields).request == head_.id.str(); };
+
+    ++progress_.sends;
+    tried_.insert(server.listed.id);
+    context_.tables.counters.increment(state::event_counter::backend_attempts);
+    context_.tables.servers.sent(server.listed.id);
+    auto opened = co_await home_.http().open(server.listed.address, std::move(call), policy);
+    if (opened)
+    {
+        co_await take_answer(server, std::move(opened.value()));
+        co_return;
+    }
+    if (cancel_->cancelled())
+    {
+        end_attempt(server, server_outcome::abandoned);
+        co_return;
+    }
+    if (opened.error() == http_fault::connect_failed)
+    {
+        end_attempt(server, server_outcome::unreached);
+        attempt_not_run const failed{retry_reason::connect_failed};
+        co_await decide(server, failed);
+        co_return;
+    }
+    ++progress_.may_have_run;
+    bool const late = opened.error() == http_fault::timed_out;
+    end_attempt(server, late ? server_outcome::unreached : server_outcome::failed);
+    if (!route_->streaming)
+        begun_running();
+    co_await decide(server, attempt_lost{late});
+}
+
+net::awaitable<void> forwarder::take_answer(state::server_view const& server, http_stream answer)
+{
+    auto const status = answer.status();
+    auto const head = context_.ports.dialect.decode_answer(status, answer.headers());
+    if (head.load)
+        context_.tables.servers.loaded(server.listed.id, *head.load, now());
+    if (head.not_run)
+    {
+        (void)co_await answer.read_rest(most_held_answer, time_left());
+        end_attempt(server, server_outcome::refused);
+        bool const misdirected = status == 421;
+        co_await decide(
+            server, attempt_not_run{
+                        misdirected ? retry_reason::other_backend_at_address
+                                    : retry_reason::backend_overloaded});
+        co_return;
+    }
+    ++progress_.may_have_run;
+    begun_running();
+    bool const failed = status >= first_error_status || promises_not_run(status);
+    if (failed)
+    {
+        auto const decision = coordination::decide_attempt(attempt_failed{}, progress_, true);
+        bool const repeatable = std::holds_alternative<coordination::send_again>(decision) &&
+                                context_.tables.repeats.take(service_, now());
+        end_attempt(server, server_outcome::failed);
+        if (repeatable)
+        {
+            (void)co_await answer.read_rest(most_held_answer, time_left());
+            context_.tables.counters.increment(retry_reason::backend_error);
+            log_attempt(server, "status_" + std::to_string(status), "send_again");
+            co_return;
+        }
+        if (promises_not_run(status) && route_->repeat != state::repeat_rule::idempotent)
+        {
+            co_await finish_unknown(refusal_reason::backend_failed);
+            co_return;
+        }
+    }
+    bool const streamed = route_->streaming && is_success(status);
+    auto end = relay_end::broken;
+    if (streamed)
+        end = co_await relay_stream(answer);
+    else
+        end = co_await relay_whole(answer);
+    switch (end)
+    {
+    case relay_end::whole:
+        done_ = true;
+        if (!failed)
+            end_attempt(server, server_outcome::answered);
+        context_.tables.counters.increment(state::event_counter::requests_completed);
+        context_.tables.whole.record(now() - arrived_);
+        log(log_event::request_finished,
+            {{"request", head_.id.str()},
+             {"route", route_->id.str()},
+             {"backend", server.listed.id.str()},
+             {"status", std::to_string(status)},
+             {"sends", std::to_string(progress_.sends)},
+             {"ms", text_of(now() - arrived_)},
+             {"configuration", std::to_string(routes_->version().count())},
+             {"configuration_age_ms", text_of(routes_age_)}});
+        break;
+    case relay_end::caller_gone:
+        caller_left_ = true;
+        done_ = true;
+        if (!failed)
+            end_attempt(server, server_outcome::abandoned);
+        break;
+    case relay_end::broken:
+        if (!failed)
+            end_attempt(server, server_outcome::failed);
+        co_await decide(server, attempt_lost{false});
+        break;
+    case relay_end::timed_out:
+        if (!failed)
+            end_attempt(server, server_outcome::unreached);
+        co_await decide(server, attempt_lost{true});
+        break;
+    }
+}
+
+net::awaitable<forwarder::relay_end> forwarder::relay_whole(http_stream& answer)
+{
+    auto body = co_await answer.read_rest(most_held_answer, time_left());
+    if (cancel_->cancelled())
+        co_return relay_end::caller_gone;
+    if (!body)
+        co_return body.error() == http_fault::timed_out ? relay_end::timed_out : relay_end::broken;
+    caller_reply reply;
+    reply.status = answer.status();
+    reply.content_type.clear();
+    reply.headers = context_.ports.dialect.encode_answer(answer.headers());
+    reply.body = std::move(body.value());
+    context_.tables.first_part.record(now() - arrived_);
+    bool const taken = co_await writer_.send(std::move(reply));
+    co_return taken ? relay_end::whole : relay_end::caller_gone;
+}
+
+net::awaitable<forwarder::relay_end> forwarder::relay_stream(http_stream& answer)
+{
+    event_splitter events;
+    bool const resumable = route_->repeat == state::repeat_rule::resumable;
+    for (;;)
+    {
+        auto const left = time_left();
+        if (left <= state::duration::zero())
+            co_return relay_end::timed_out;
+        auto const limit = resumable ? std::min(left, longest_silence) : left;
+        auto const part = co_await answer.read(limit);
+        if (cancel_->cancelled())
+            co_return relay_end::caller_gone;
+        if (!part)
+        {
+            bool const late = time_left() <= state::duration::zero();
+            co_return late ? relay_end::timed_out : relay_end::broken;
+        }
+        bool const ended = part.value().empty();
+        events.feed(part.value());
+        auto ready = events.take_whole();
+        if (ended)
+            ready += events.take_rest();
+        if (!events.last_id().empty())
+            resume_after_ = events.last_id();
+        if (!progress_.answer_begun && (!ready.empty() || ended))
+        {
+            caller_reply head;
+            head.status = answer.status();
+            head.content_type.clear();
+            head.headers = context_.ports.dialect.encode_answer(answer.headers());
+            progress_.answer_begun = true;
+            context_.tables.first_part.record(now() - arrived_);
+            if (!co_await writer_.begin(std::move(head)))
+                co_return relay_end::caller_gone;
+        }
+        if (!ready.empty() && !co_await writer_.send_part(std::move(ready)))
+            co_return relay_end::caller_gone;
+        if (ended)
+            co_return co_await writer_.end() ? relay_end::whole : relay_end::caller_gone;
+    }
+}
+
+net::awaitable<void> forwarder::decide(
+    state::server_view const& server, coordination::failed_attempt_kind failed)
+{
+    progress_.time_left = time_left();
+    auto decision = coordination::decide_attempt(failed, progress_, true);
+    if (auto const* again = std::get_if<coordination::send_again>(&decision))
+    {
+        if (context_.tables.repeats.take(service_, now()))
+        {
+            context_.tables.counters.increment(again->cause);
+            log_attempt(server, name_of(again->cause), "send_again");
+            if (progress_.answer_begun)
+                context_.tables.counters.increment(state::event_counter::streams_resumed);
+            co_return;
+        }
+        decision = coordination::decide_attempt(failed, progress_, false);
+    }
+    done_ = true;
+    if (auto const* refused = std::get_if<coordination::answer_not_run>(&decision))
+    {
+        log_attempt(server, name_of(refused->reason), "refuse");
+        co_await finish_not_run(refused->reason);
+    }
+    else if (auto const* unknown = std::get_if<coordination::answer_unknown>(&decision))
+    {
+        context_.tables.counters.increment(unknown->cause);
+        log_attempt(server, name_of(unknown->reason), std::string{name_of(unknown->cause)});
+        co_await finish_unknown(unknown->reason);
+    }
+}
+
+net::awaitable<void> forwarder::finish_not_run(refusal_reason reason)
+{
+    done_ = true;
+    if (organisation_)
+        context_.tables.quotas.give_back(organisation_->id, quota_cost_);
+    refuse(reason, retry_when_full, "");
+    co_await refuse_now();
+}
+
+net::awaitable<void> forwarder::finish_unknown(refusal_reason reason)
+{
+    done_ = true;
+    if (progress_.answer_begun)
+    {
+        // The answer can't be ended as whole: breaking the connection off tells the caller.
+        writer_.keep_alive(false);
+        context_.tables.counters.increment(reason);
+        log(log_event::answer_broken_off, {{"request", head_.id.str()},
+                                           {"route", route_->id.str()},
+                                           {"reason", std::string{name_of(reason)}},
+                                           {"last_event", resume_after_},
+                                           {"after_ms", text_of(now() - arrived_)}});
+        co_return;
+    }
+    refuse(reason, {}, "");
+    refusal_->outcome = state::run_outcome::outcome_unknown;
+    co_await refuse_now();
+}
+
+net::awaitable<void> forwarder::refuse_now()
+{
+    auto const& p = *refusal_;
+    auto reply = reply_for(p);
+    std::erase_if(reply.headers, [](auto const& h) { return h.first == "Retry-After"; });
+    if (p.retry_after)
+        reply.headers.emplace_back("Retry-After", seconds_with_fraction(*p.retry_after));
+    for (auto& header : context_.ports.dialect.own_answer(head_))
+        reply.headers.push_back(std::move(header));
+    auto const status = reply.status;
+    context_.tables.counters.increment(p.reason);
+    log(log_event::request_refused,
+        {{"request", head_.id.str()},
+         {"route", route_ ? route_->id.str() : ""},
+         {"reason", std::string{name_of(p.reason)}},
+         {"status", std::to_string(status)},
+         {"ran", std::string{protocol::name_of(p.outcome)}},
+         {"sends", std::to_string(progress_.sends)},
+         {"after_ms", text_of(now() - arrived_)},
+         {"configuration", routes_ ? std::to_string(routes_->version().count()) : ""},
+         {"configuration_age_ms", text_of(routes_age_)}});
+    co_await writer_.send(std::move(reply));
+}
+
+void forwarder::end_attempt(state::server_view const& server, server_outcome outcome)
+{
+    auto& servers = context_.tables.servers;
+    auto const after = servers.ended(server.listed.id, outcome, now());
+    if (!after)
+        return;
+    auto const others = servers.all(server.listed.service);
+    auto const end = coordination::ejection_end(*after, others, now());
+    if (!end)
+        return;
+    servers.eject(server.listed.id, *end);
+    context_.tables.counters.increment(state::event_counter::backends_ejected);
+    log(log_event::backend_ejected, {{"backend", server.listed.id.str()},
+                                     {"failures_in_row", std::to_string(after->failures_in_row)},
+                                     {"failure_share", std::to_string(after->failure_share)},
+                                     {"for_ms", text_of(*end - now())}});
+}
+
+void forwarder::begun_running()
+{
+    if (!organisation_)
+        return;
+    auto const since_epoch = context_.clock.true_time().time_since_epoch();
+    auto const window = since_epoch / context_.settings.usage_window;
+    context_.tables.usage.record(
+        state::window_number{static_cast<std::int64_t>(window)}, organisation_->id);
+}
+
+void forwarder::log_attempt(
+    state::server_view const& server, std::string_view what, std::string next)
+{
+    log(log_event::attempt_failed, {{"request", head_.id.str()},
+                                    {"route", route_->id.str()},
+                                    {"backend", server.listed.id.str()},
+                                    {"send", std::to_string(progress_.sends)},
+                                    {"cause", std::string{what}},
+                                    {"next", std::move(next)},
+                                    {"after_ms", text_of(now() - arrived_)},
+                                    {"left_ms", text_of(time_left())}});
+}
+
+} // namespace auburnweir::transport
--- /dev/null
+++ b/src/transport/gateway_connection.cpp
@@ -0,0 +1,193 @@
+#include "transport/gateway_connection.hpp"
+
+#include "transport/request_fault.hpp"
+
+namespace auburnweir::transport
+{
+
+namespace
+{
+
+/// Grace for callers that use a connection up to its idle limit.
+constexpr state::duration idle_margin = std::chrono::seconds{1};
+
+/// How long the rest of an unread request is taken in after the answer, so that closing does not
+/// reset the connection before the caller has read it.
+constexpr state::duration longest_linger = std::chrono::milliseconds{1000};
+
+constexpr std::size_t most_lingering_bytes = 8 * 1024 * 1024;
+
+auto into(error_code& fault)
+{
+    return net::redirect_error(net::use_awaitable, fault);
+}
+
+/// Counts a request as in progress for the time of its scope.
+class progress_mark
+{
+public:
+    explicit progress_mark(std::atomic<std::int64_t>& count)
+        : count_(count)
+    {
+        ++count_;
+    }
+
+    progress_mark(progress_mark const&) = delete;
+    progress_mark& operator=(progress_mark const&) = delete;
+    ~progress_mark() { --count_; }
+
+private:
+    std::atomic<std::int64_t>& count_;
+};
+
+/// Transfer codings other than exactly `chunked` leave open where a request ends.
+bool framing_is_clear(http::fields const& fields)
+{
+    auto const codings = fields.count(http::field::transfer_encoding);
+    if (codings == 0)
+        return true;
+    bool const both = fields.count(http::field::content_length) > 0;
+    return codings == 1 && !both &&
+           beast::iequals(fields[http::field::transfer_encoding], "chunked");
+}
+
+} // namespace
+
+gateway_connection::gateway_connection(gateway_context& context, worker& home, tcp::socket socket)
+    : context_(context)
+    , home_(home)
+    , stream_(std::move(socket))
+    , writer_(stream_, context.settings.write_timeout)
+    , read_limit_(stream_)
+{
+}
+
+void gateway_connection::start()
+{
+    net::co_spawn(
+        home_.io(), [self = shared_from_this()] { return self->run(); }, net::detached);
+}
+
+state::caller_limits gateway_connection::limits() const
+{
+    auto const routes = context_.tables.routes.current();
+    return routes ? routes->limits() : state::caller_limits{};
+}
+
+net::awaitable<void> gateway_connection::run()
+{
+    bool open = true;
+    while (open)
+        open = co_await serve_one() && writer_.keeps_alive();
+    co_await linger();
+}
+
+net::awaitable<bool> gateway_connection::wait_for_request()
+{
+    if (buffer_.size() > 0)
+        co_return true;
+    auto const since = now();
+    for (;;)
+    {
+        // The limit may grow while the connection is idle.
+        auto const left = limits().idle_timeout + idle_margin - (now() - since);
+        if (left <= state::duration::zero())
+            co_return false;
+        read_limit_.begin(left);
+        error_code fault;
+        co_await stream_.socket().async_wait(tcp::socket::wait_read, into(fault));
+        bool const over = read_limit_.end();
+        if (!fault)
+            co_return true;
+        if (!over)
+            co_return false;
+    }
+}
+
+net::awaitable<bool> gateway_connection::serve_one()
+{
+    if (!co_await wait_for_request())
+    {
+        writer_.keep_alive(false);
+        co_return false;
+    }
+    auto const limit = limits();
+    request_parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(limit.header.count()));
+    parser.body_limit(static_cast<std::uint64_t>(limit.body.count()));
+    read_limit_.begin(limit.header_timeout);
+    error_code fault;
+    co_await http::async_read_header(stream_, buffer_, parser, into(fault));
+    if (read_limit_.end())
+        fault = beast::error::timeout;
+    auto const arrived = now();
+    if (!fault && !framing_is_clear(parser.get()))
+        fault = http::error::bad_transfer_encoding;
+    if (!fault)
+        fault = co_await read_body(parser);
+    if (fault)
+    {
+        co_await refuse_unread(fault);
+        co_return false;
+    }
+    progress_mark const in_progress(context_.requests_in_progress);
+    writer_.keep_alive(parser.get().keep_alive() && !context_.stopping);
+    forwarder request(context_, home_, stream_, writer_, parser.release(), arrived);
+    co_await request.run();
+    if (context_.stopping)
+        writer_.keep_alive(false);
+    co_return true;
+}
+
+net::awaitable<error_code> gateway_connection::read_body(request_parser& parser)
+{
+    error_code fault;
+    if (parser.is_done())
+        co_return fault;
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
+    {
+        constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await net::async_write(stream_, net::buffer(go_on.data(), go_on.size()), into(fault));
+        if (fault)
+            co_return fault;
+    }
+    read_limit_.begin(context_.settings.body_timeout);
+    co_await http::async_read(stream_, buffer_, parser, into(fault));
+    if (read_limit_.end())
+        fault = beast::error::timeout;
+    co_return fault;
+}
+
+net::awaitable<void> gateway_connection::refuse_unread(error_code fault)
+{
+    writer_.keep_alive(false);
+    if (is_gone(fault))
+        co_return;
+    protocol::problem p;
+    p.reason = unread_reason(fault);
+    p.detail = fault.message();
+    context_.tables.counters.increment(p.reason);
+    co_await writer_.send(reply_for(p));
+}
+
+net::awaitable<void> gateway_connection::linger()
+{
+    error_code fault;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, fault);
+    std::size_t taken = buffer_.size();
+    buffer_.consume(buffer_.size());
+    auto const until = now() + longest_linger;
+    while (!fault && taken < most_lingering_bytes)
+    {
+        auto const left = until - now();
+        if (left <= state::duration::zero())
+            break;
+        read_limit_.begin(left);
+        std::array<char, 4096> bytes;
+        taken += co_await stream_.socket().async_read_some(net::buffer(bytes), into(fault));
+        read_limit_.end();
+    }
+    stream_.socket().close(fault);
+}
+
+} // namespace auburnweir::transport
--- /dev/null
+++ b/src/transport/gateway_connection.hpp
@@ -0,0 +1,40 @@
+#ifndef AUBURNWEIR_TRANSPORT_GATEWAY_CONNECTION_HPP
+#define AUBURNWEIR_TRANSPORT_GATEWAY_CONNECTION_HPP
+
+#include "transport/forwarder.hpp"
+
+#include <memory>
+
+namespace auburnweir::transport
+{
+
+/// One caller's connection to a gateway: reads requests within limits and forwards them.
+class gateway_connection : public std::enable_shared_from_this<gateway_connection>
+{
+public:
+    gateway_connection(gateway_context& context, worker& home, tcp::socket socket);
+
+    void start();
+
+private:
+    using request_parser = http::request_parser<http::string_body>;
+
+    net::awaitable<void> run();
+    net::awaitable<bool> wait_for_request();
+    net::awaitable<bool> serve_one();
+    net::awaitable<void> refuse_unread(error_code fault);
+    net::awaitable<error_code> read_body(request_parser& parser);
+    net::awaitable<void> linger();
+    state::caller_limits limits() const;
+
+    gateway_context& context_;
+    worker& home_;
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    reply_writer writer_;
+    io_limit read_limit_;
+};
+
+} // namespace auburnweir::transport
+
+#endif
--- /dev/null
+++ b/src/transport/gateway_context.hpp
@@ -0,0 +1,43 @@
+#ifndef AUBURNWEIR_TRANSPORT_GATEWAY_CONTEXT_HPP
+#define AUBURNWEIR_TRANSPORT_GATEWAY_CONTEXT_HPP
+
+#include "transport/control_store.hpp"
+#include "transport/fleet_api.hpp"
+#include "transport/gateway_tables.hpp"
+#include "transport/platform_format.hpp"
+#include "transport/request_dialect.hpp"
+#include "transport/shared_clock.hpp"
+#include "transport/timer_service.hpp"
+#include "transport/worker_pool.hpp"
+
+#include <atomic>
+
+namespace auburnweir::transport
+{
+
+/// Ports to the platform, as the program wires them.
+struct platform_ports
+{
+    request_dialect const& dialect;
+    platform_format const& format;
+    control_store& store;
+    fleet_api& fleet;
+};
+
+/// What the managers of a gateway work with.
+struct gateway_context
+{
+    protocol::gateway_settings const& settings;
+    state::incarnation life;
+    gateway_tables& tables;
+    worker_pool& workers;
+    timer_service& timers;
+    shared_clock& clock;
+    platform_ports ports;
+    std::atomic<bool>& stopping;
+    std::atomic<std::int64_t>& requests_in_progress;
+};
+
+} // namespace auburnweir::transport
+
+#endif
--- /dev/null
+++ b/src/transport/gateway_server.cpp
@@ -0,0 +1,275 @@
+#include "transport/gateway_server.hpp"
+
+#include "protocol/metrics_text.hpp"
+#include "transport/async_signal.hpp"
+#include "transport/gateway_connection.hpp"
+#include "transport/log.hpp"
+#include "transport/status_server.hpp"
+#include "transport/store_watch.hpp"
+
+#include <csignal>
+#include <random>
+
+namespace auburnweir::transport
+{
+
+namespace
+{
+
+constexpr state::duration log_flush_period = std::chrono::milliseconds{200};
+
+/// How often a stopping process looks whether its requests have ended.
+constexpr state::duration activity_period = std::chrono::milliseconds{50};
+
+/// Time in which callers still arrive after readiness went off: two probes a second apart.
+constexpr state::duration readiness_lag = std::chrono::milliseconds{3500};
+
+/// Part of the grace that is kept in hand before the kill.
+constexpr state::duration grace_margin = std::chrono::milliseconds{400};
+
+/// Share of the revocation bound after which keyed requests are better sent to other instances.
+constexpr double ready_share_of_bound = 0.55;
+
+constexpr int status_ok = 200;
+constexpr int status_unready = 503;
+
+} // namespace
+
+struct gateway_server::parts
+{
+    parts(
+        protocol::gateway_settings s, port_factory const& make_ports,
+        std::function<state::findings()> check, std::uint64_t seed)
+        : settings(std::move(s))
+        , settings_check(std::move(check))
+        , tables(settings)
+        , workers(static_cast<std::size_t>(settings.workers), seed)
+        , timers(workers.at(0).io())
+        , ports(make_ports(workers.at(0).http(), tables.counters))
+        , context{settings,
+                  state::incarnation{
+                      static_cast<std::uint64_t>(wall_now().time_since_epoch().count())},
+                  tables,
+                  workers,
+                  timers,
+                  clock,
+                  {*ports.dialect, *ports.format, *ports.store, *ports.fleet},
+                  stopping,
+                  requests_in_progress}
+        , watch(context)
+        , callers(
+              workers,
+              [this](worker& home, tcp::socket socket)
+              {
+                  std::make_shared<gateway_connection>(context, home, std::move(socket))->start();
+              })
+        , readiness(workers, settings.ready_path, [this] { return readiness_answer(); })
+        , metrics(workers, "/metrics", [this] { return metrics_answer(); })
+        , signals(workers.at(0).io(), SIGTERM, SIGINT, SIGHUP)
+    {
+    }
+
+    bool is_ready() const;
+    caller_reply readiness_answer();
+    caller_reply metrics_answer() const;
+    void await_signal();
+    void reload();
+    net::awaitable<void> stop();
+    void flush();
+
+    protocol::gateway_settings settings;
+    std::function<state::findings()> settings_check;
+    gateway_tables tables;
+    std::atomic<bool> stopping{false};
+    std::atomic<std::int64_t> requests_in_progress{0};
+    worker_pool workers;
+    timer_service timers;
+    shared_clock clock;
+    owned_ports ports;
+    gateway_context context;
+    store_watch watch;
+    caller_listener callers;
+    status_server readiness;
+    status_server metrics;
+    net::signal_set signals;
+    std::vector<timer_subscription> subscriptions;
+    bool was_ready = false;
+    std::uint64_t lines_dropped = 0;
+    std::uint16_t caller_port = 0;
+    std::uint16_t ready_port = 0;
+    std::uint16_t metrics_port = 0;
+};
+
+bool gateway_server::parts::is_ready() const
+{
+    if (stopping || !watch.complete())
+        return false;
+    auto const age = tables.routes.age(now());
+    return age.count() <
+           ready_share_of_bound * static_cast<double>(settings.revocation_bound.count());
+}
+
+caller_reply gateway_server::parts::readiness_answer()
+{
+    bool const ready = is_ready();
+    if (ready != was_ready)
+        log(log_event::readiness_changed,
+            {{"ready", ready ? "yes" : "no"},
+             {"stopping", stopping ? "yes" : "no"},
+             {"configuration_age_ms", std::to_string(tables.routes.age(now()).count() / 1000)}});
+    was_ready = ready;
+    caller_reply reply;
+    reply.status = ready ? status_ok : status_unready;
+    reply.content_type = "text/plain";
+    reply.body = ready ? "ready\n" : "not ready\n";
+    return reply;
+}
+
+caller_reply gateway_server::parts::metrics_answer() const
+{
+    caller_reply reply;
+    reply.content_type = "text/plain; version=0.0.4";
+    reply.body = protocol::encode_metrics(tables.counters);
+    protocol::append_histogram(reply.body, "first_part_seconds", tables.first_part);
+    protocol::append_histogram(reply.body, "whole_answer_seconds", tables.whole);
+    auto const age = std::chrono::duration<double>(tables.routes.age(now())).count();
+    protocol::append_gauge(reply.body, "configuration_age_seconds", age);
+    protocol::append_gauge(
+        reply.body, "requests_in_progress", static_cast<double>(requests_in_progress.load()));
+    protocol::append_gauge(
+        reply.body, "log_lines_dropped", static_cast<double>(log_lines_dropped()));
+    if (auto const routes = tables.routes.current())
+        protocol::append_gauge(
+            reply.body, "configuration_version", static_cast<double>(routes->version().count()));
+    return reply;
+}
+
+void gateway_server::parts::flush()
+{
+    auto const dropped = log_lines_dropped();
+    if (dropped != lines_dropped)
+        log(log_event::log_lines_dropped, {{"lines", std::to_string(dropped - lines_dropped)}});
+    lines_dropped = dropped;
+    flush_log();
+}
+
+void gateway_server::parts::await_signal()
+{
+    signals.async_wait(
+        [this](error_code fault, int number)
+        {
+            if (fault)
+                return;
+            if (number == SIGHUP)
+            {
+                reload();
+                return await_signal();
+            }
+            if (!stopping.exchange(true))
+                net::co_spawn(workers.at(0).io(), stop(), net::detached);
+        });
+}
+
+void gateway_server::parts::reload()
+{
+    auto const found = settings_check ? settings_check() : state::findings{};
+    log(log_event::settings_reloaded, {{"findings", state::to_text(found)}});
+}
+
+net::awaitable<void> gateway_server::parts::stop()
+{
+    log(log_event::gateway_stopping,
+        {{"instance", settings.id.str()},
+         {"requests_in_progress", std::to_string(requests_in_progress.load())}});
+    auto& io = workers.at(0).io();
+    auto const begun = now();
+    auto const until = begun + settings.stop_grace - grace_margin;
+    while (now() < until && (now() - begun < readiness_lag || requests_in_progress > 0))
+        co_await sleep_for(io, activity_period);
+    callers.close();
+    workers.stop();
+}
+
+gateway_server::gateway_server(std::unique_ptr<parts> p)
+    : parts_(std::move(p))
+{
+}
+
+gateway_server::~gateway_server() = default;
+
+std::uint16_t gateway_server::caller_port() const
+{
+    return parts_->caller_port;
+}
+
+std::uint16_t gateway_server::ready_port() const
+{
+    return parts_->ready_port;
+}
+
+std::uint16_t gateway_server::metrics_port() const
+{
+    return parts_->metrics_port;
+}
+
+void gateway_server::run()
+{
+    auto& p = *parts_;
+    p.subscriptions.push_back(p.timers.every(log_flush_period, [&p] { p.flush(); }));
+    p.await_signal();
+    p.watch.start();
+    p.callers.start();
+    p.readiness.start();
+    p.metrics.start();
+    log(log_event::gateway_started, {{"instance", p.settings.id.str()},
+                                     {"life", std::to_string(p.context.life.count())},
+                                     {"failure_domain", p.settings.failure_domain.str()}});
+    p.workers.start();
+    p.workers.join();
+    log(log_event::gateway_stopped,
+        {{"instance", p.settings.id.str()},
+         {"requests_in_progress", std::to_string(p.requests_in_progress.load())}});
+    flush_log();
+}
+
+gateway_server::builder& gateway_server::builder::settings(protocol::gateway_settings value)
+{
+    settings_ = std::move(value);
+    return *this;
+}
+
+gateway_server::builder& gateway_server::builder::ports(port_factory value)
+{
+    ports_ = std::move(value);
+    return *this;
+}
+
+gateway_server::builder& gateway_server::builder::seed(std::uint64_t value)
+{
+    seed_ = value;
+    return *this;
+}
+
+gateway_server::builder& gateway_server::builder::settings_check(
+    std::function<state::findings()> value)
+{
+    settings_check_ = std::move(value);
+    return *this;
+}
+
+std::unique_ptr<gateway_server> gateway_server::builder::build(std::string& fault)
+{
+    auto p = std::make_unique<parts>(
+        settings_, ports_, settings_check_, seed_.value_or(std::random_device{}()));
+    p->caller_port = p->callers.listen(settings_.listen);
+    p->ready_port = p->readiness.listen(settings_.ready_listen);
+    p->metrics_port = p->metrics.listen(settings_.metrics_listen);
+    if (p->caller_port == 0 || p->ready_port == 0 || p->metrics_port == 0)
+    {
+        fault = "an address to listen on can't be had";
+        return nullptr;
+    }
+    return std::make_unique<gateway_server>(std::move(p));
+}
+
+} // namespace auburnweir::transport
--- /dev/null
+++ b/src/transport/gateway_tables.hpp
@@ -0,0 +1,49 @@
+#ifndef AUBURNWEIR_TRANSPORT_GATEWAY_TABLES_HPP
+#define AUBURNWEIR_TRANSPORT_GATEWAY_TABLES_HPP
+
+#include "coordination/quota_shares.hpp"
+#include "coordination/repeat_budget.hpp"
+#include "protocol/gateway_settings.hpp"
+#include "state/counters.hpp"
+#include "state/instance_report_table.hpp"
+#include "state/latency_histogram.hpp"
+#include "state/route_table.hpp"
+#include "state/server_table.hpp"
+#include "state/usage_table.hpp"
+
+namespace auburnweir::transport
+{
+
+/// What the sessions and managers of a gateway share. Each table has its lock, see `lock_rank`.
+struct gateway_tables
+{
+    explicit gateway_tables(protocol::gateway_settings const& settings)
+        : quotas(settings.id, {})
+        , repeats(repeat_limits_of(settings))
+        , usage(usage_windows_kept)
+    {
+    }
+
+    /// More than are ever due at once, with the usual window and delay.
+    static constexpr std::size_t usage_windows_kept = 12;
+
+    static coordination::repeat_limits repeat_limits_of(protocol::gateway_settings const& s)
+    {
+        auto const part = s.repeat_slack / static_cast<double>(s.most_instances);
+        return {s.repeat_ratio, part, s.repeat_window};
+    }
+
+    state::route_table routes;
+    state::server_table servers;
+    coordination::quota_shares quotas;
+    coordination::repeat_budget repeats;
+    state::usage_table usage;
+    state::instance_report_table reports;
+    state::counters counters;
+    state::latency_histogram first_part; ///< arrival to the answer's first byte
+    state::latency_histogram whole;      ///< arrival to the answer's last byte
+};
+
+} // namespace auburnweir::transport
+
+#endif
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,7 +1,10 @@
 #include "transport/http_client.hpp"
 
+#include "transport/clock.hpp"
 #include "transport/io_limit.hpp"
 
+#include <charconv>
+
 namespace auburnweir::transport
 {
 
@@ -24,6 +27,29 @@
     return interrupted ? http_fault::timed_out : http_fault::lost;
 }
 
+/// Share of the time that the other side promises to keep an idle connection, in which it is used.
+constexpr double used_share_of_idle = 0.5;
+
+/// Late answers that are read and dropped before a call counts as lost.
+constexpr int most_late_answers = 3;
+
+/// How long an idle connection may be used: by `Keep-Alive: timeout=N`, else without limit.
+state::duration idle_limit_of(http_fields const& headers)
+{
+    constexpr std::string_view mark = "timeout=";
+    auto const value = headers[http::field::keep_alive];
+    std::string_view const text{value.data(), value.size()};
+    auto const at = text.find(mark);
+    if (at == std::string_view::npos)
+        return std::chrono::hours{1};
+    double seconds = 0;
+    auto const* begin = text.data() + at + mark.size();
+    if (std::from_chars(begin, text.data() + text.size(), seconds).ec != std::errc{})
+        return std::chrono::hours{1};
+    return std::chrono::duration_cast<state::duration>(
+        std::chrono::duration<double>(seconds * used_share_of_idle));
+}
+
 } // namespace
 
 struct http_client::connection
@@ -45,10 +71,20 @@
         return !quiet;
     }
 
+    void close()
+    {
+        error_code ignored;
+        stream.socket().close(ignored);
+    }
+
     beast::tcp_stream stream;
     state::endpoint address;
     beast::flat_buffer buffer;
     io_limit limit;
+    bool sending = false; ///< the request is not written to its end yet
+    bool fresh = true;    ///< carries its first request
+    state::time_point idle_since{};
+    state::duration idle_limit = std::chrono::hours{1};
 };
 
 struct http_stream::state
@@ -61,8 +97,17 @@
         parser.body_limit(UINT64_MAX);
     }
 
+    ~state()
+    {
+        if (cancel)
+            cancel->bind(nullptr);
+        if (connection && connection->sending)
+            connection->close();
+    }
+
     http_client& client;
     http_client::connection_ptr connection;
+    std::shared_ptr<call_cancel> cancel;
     http::response_parser<http::buffer_body> parser;
     std::array<char, read_buffer_bytes> bytes{};
 
@@ -76,8 +121,17 @@
     /// After the last byte: the connection may be used again.
     void give_back()
     {
-        if (connection && parser.is_done() && parser.keep_alive())
+        if (cancel)
+            cancel->bind(nullptr);
+        bool const reusable = connection && parser.is_done() && parser.keep_alive() &&
+                              !connection->sending && connection->buffer.size() == 0;
+        if (reusable)
+        {
+            connection->idle_limit = idle_limit_of(parser.get().base());
             client.keep(std::move(connection));
+        }
+        else if (connection)
+            connection->close();
         connection.reset();
     }
 };
@@ -183,7 +237,8 @@
 
 http_client::~http_client() = default;
 
-http_client::connection_ptr http_client::take_kept(state::endpoint const& to)
+http_client::connection_ptr http_client::take_kept(
+    state::endpoint const& to, state::duration longest_idle)
 {
     auto const it = kept_.find(to);
     if (it == kept_.end())
@@ -192,7 +247,8 @@
     {
         auto c = std::move(it->second.back());
         it->second.pop_back();
-        if (!c->is_stale())
+        auto const idle = now() - c->idle_since;
+        if (idle <= longest_idle && idle <= c->idle_limit && !c->is_stale())
             return c;
     }
     return nullptr;
@@ -200,16 +256,23 @@
 
 void http_client::keep(connection_ptr c)
 {
-    c->buffer.consume(c->buffer.size());
     auto& list = kept_[c->address];
-    if (list.size() < most_kept_per_endpoint)
-        list.push_back(std::move(c));
+    if (list.size() >= most_kept_per_endpoint)
+        return;
+    c->idle_since = now();
+    c->fresh = false;
+    list.push_back(std::move(c));
+}
+
+void http_client::drop_kept(state::endpoint const& to)
+{
+    kept_.erase(to);
 }
 
 net::awaitable<http_result<http_client::connection_ptr>> http_client::connect(
     state::endpoint to, state::duration limit)
 {
-    auto c = std::make_unique<connection>(io_, to);
+    auto c = std::make_shared<connection>(io_, to);
     error_code fault;
     tcp::endpoint const address{net::ip::make_address(to.host, fault), to.port};
     if (fault)
@@ -219,43 +282,123 @@
     c->limit.end();
     if (fault)
         co_return http_fault::connect_failed;
+    ++connections_opened_;
     c->stream.socket().set_option(tcp::no_delay(true), fault);
     co_return std::move(c);
 }
 
+void http_client::start_sending(connection_ptr c, http::request<http::string_body> request)
+{
+    // Apart from the reading: an answer may come before the whole request was taken.
+    c->sending = true;
+    auto message = std::make_shared<http::request<http::string_body>>(std::move(request));
+    http::async_write(
+        c->stream, *message,
+        [c, message](error_code fault, std::size_t)
+        {
+            // After a fault the connection stays marked, so that it is not used again.
+            if (!fault)
+                c->sending = false;
+        });
+}
+
+net::awaitable<http_result<bool>> http_client::read_header(
+    http_stream::state& s, call_policy const& policy)
+{
+    auto& c = *s.connection;
+    error_code fault;
+    co_await http::async_read_header(c.stream, c.buffer, s.parser, into(fault));
+    if (fault)
+        co_return lost_by(c.limit.end());
+    if (!policy.is_answer || policy.is_answer(s.parser.get().base()))
+        co_return true;
+    ++late_answers_;
+    s.parser.eager(true);
+    while (!s.parser.is_done())
+    {
+        s.parse_received(fault);
+        if (fault)
+            co_return http_fault::lost;
+        if (s.parser.is_done())
+            break;
+        fault = co_await s.receive(policy.limit);
+        if (fault)
+            co_return lost_by(fault == beast::error::timeout);
+    }
+    co_return false;
+}
+
 net::awaitable<http_result<http_stream>> http_client::open(
     state::endpoint to, http_call what, state::duration limit, connection_use use)
 {
-    auto c = use == connection_use::kept ? take_kept(to) : nullptr;
+    call_policy policy;
+    policy.limit = limit;
+    policy.use = use;
+    co_return co_await open(std::move(to), std::move(what), std::move(policy));
+}
+
+net::awaitable<http_result<http_stream>> http_client::open(
+    state::endpoint to, http_call what, call_policy policy)
+{
+    auto const begun = now();
+    auto c = policy.use == connection_use::kept ? take_kept(to, policy.longest_idle) : nullptr;
     if (!c)
     {
-        auto connected = co_await connect(to, limit);
+        auto connected = co_await connect(to, std::min(policy.limit, policy.connect_limit));
         if (!connected)
             co_return connected.error();
         c = std::move(connected.value());
+        if (policy.cancel && policy.cancel->cancelled())
+            co_return http_fault::connect_failed;
     }
-    http::request<http::string_body> request{
-        http::string_to_verb(what.method), what.target, 11, std::move(what.body)};
+    http::request<http::string_body> request;
+    request.method_string(what.method);
+    request.target(what.target);
+    request.version(11);
+    request.body() = std::move(what.body);
     request.set(http::field::host, to.host + ":" + std::to_string(to.port));
     if (!what.content_type.empty())
         request.set(http::field::content_type, what.content_type);
     for (auto const& [name, value] : what.headers)
-        request.set(name, value);
+    {
+        if (beast::iequals(name, "Host"))
+            request.set(http::field::host, value);
+        else
+            request.insert(name, value);
+    }
     request.prepare_payload();
 
-    c->limit.begin(limit);
-    error_code fault;
-    co_await http::async_write(c->stream, request, into(fault));
-    if (fault)
-        co_return lost_by(c->limit.end());
-    auto s = std::make_unique<http_stream::state>(*this, std::move(c));
-    co_await http::async_read_header(
-        s->connection->stream, s->connection->buffer, s->parser, into(fault));
-    bool const interrupted = s->connection->limit.end();
-    if (fault)
-        co_return lost_by(interrupted);
-    s->parser.eager(true);
-    co_return http_stream{std::move(s)};
+    if (policy.cancel)
+        policy.cancel->bind(
+            [weak = std::weak_ptr<connection>(c)]
+            {
+                if (auto const open = weak.lock())
+                    open->close();
+            });
+    bool const request_without_answer_body = request.method() == http::verb::head;
+    start_sending(c, std::move(request));
+    for (int answers = 0; answers <= most_late_answers; ++answers)
+    {
+        auto s = std::make_unique<http_stream::state>(*this, c);
+        s->parser.skip(request_without_answer_body);
+        auto const left = policy.limit - (now() - begun);
+        if (left <= state::duration::zero())
+            co_return http_fault::timed_out;
+        c->limit.begin(left);
+        auto const ours = co_await read_header(*s, policy);
+        c->limit.end();
+        if (!ours)
+            co_return ours.error();
+        if (!ours.value())
+        {
+            s->connection.reset();
+            continue;
+        }
+        s->parser.eager(true);
+        s->cancel = policy.cancel;
+        co_return http_stream{std::move(s)};
+    }
+    co_return http_fault::lost;
 }
 
 net::awaitable<http_result<http_reply>> http_client::call(
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -7,6 +7,7 @@
 
 #include <boost/outcome/result.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -29,17 +30,18 @@
 template <class T>
 using http_result = BOOST_OUTCOME_V2_NAMESPACE::unchecked<T, http_fault>;
 
+using http_fields = http::fields;
+using http_headers = std::vector<std::pair<std::string, std::string>>;
+
 struct http_call
 {
     std::string method = "GET";
     std::string target;
     std::string content_type;
-    std::vector<std::pair<std::string, std::string>> headers;
+    http_headers headers; ///< a `Host` here goes before the endpoint's own
     std::string body;
 };
 
-using http_fields = http::fields;
-
 struct http_reply
 {
     int status = 0;
@@ -55,6 +57,48 @@
     fresh
 };
 
+/// Ends a call from outside, as when its caller leaves. Not thread-safe: one worker's.
+class call_cancel
+{
+public:
+    void cancel()
+    {
+        cancelled_ = true;
+        if (hook_)
+            hook_();
+    }
+
+    bool cancelled() const { return cancelled_; }
+
+    /// Replaces what `cancel` does.
+    void bind(std::function<void()> hook)
+    {
+        hook_ = std::move(hook);
+        if (cancelled_ && hook_)
+            hook_();
+    }
+
+private:
+    std::function<void()> hook_;
+    bool cancelled_ = false;
+};
+
+/// How a call is made.
+struct call_policy
+{
+    auburnweir::state::duration limit = std::chrono::hours{1}; ///< to the answer's header
+    auburnweir::state::duration connect_limit = std::chrono::hours{1};
+    connection_use use = connection_use::kept;
+
+    /// A kept connection that was idle for longer is not used.
+    auburnweir::state::duration longest_idle = std::chrono::hours{1};
+
+    /// Tells the call's answer from a late one to an earlier call; late ones are dropped.
+    std::function<bool(http_fields const&)> is_answer;
+
+    std::shared_ptr<call_cancel> cancel;
+};
+
 /// An answer that is read as it comes. Destruction closes the connection unless the answer was
 /// read to its end; the backend server sees that as a cancelled request.
 class http_stream
@@ -98,17 +142,32 @@
         auburnweir::state::endpoint to, http_call what, auburnweir::state::duration limit,
         connection_use use = connection_use::kept);
 
+    net::awaitable<http_result<http_stream>> open(
+        auburnweir::state::endpoint to, http_call what, call_policy policy);
+
+    /// Closes kept connections that nobody may use again.
+    void drop_kept(auburnweir::state::endpoint const& to);
+
+    /// Connections opened and answers dropped as late since the start.
+    std::uint64_t connections_opened() const { return connections_opened_; }
+    std::uint64_t late_answers() const { return late_answers_; }
+
 private:
     friend class http_stream;
     struct connection;
-    using connection_ptr = std::unique_ptr<connection>;
+    using connection_ptr = std::shared_ptr<connection>;
 
     net::awaitable<http_result<connection_ptr>> connect(
         auburnweir::state::endpoint to, auburnweir::state::duration limit);
-    connection_ptr take_kept(auburnweir::state::endpoint const& to);
+    connection_ptr take_kept(
+        auburnweir::state::endpoint const& to, auburnweir::state::duration longest_idle);
     void keep(connection_ptr c);
+    void start_sending(connection_ptr c, http::request<http::string_body> request);
+    net::awaitable<http_result<bool>> read_header(http_stream::state& s, call_policy const& policy);
 
     net::io_context& io_;
+    std::uint64_t connections_opened_ = 0;
+    std::uint64_t late_answers_ = 0;
     std::map<auburnweir::state::endpoint, std::vector<connection_ptr>> kept_;
 };
 
--- a/src/transport/log.hpp
+++ b/src/transport/log.hpp
@@ -1,6 +1,7 @@
 #ifndef AUBURNWEIR_TRANSPORT_LOG_HPP
 #define AUBURNWEIR_TRANSPORT_LOG_HPP
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -15,15 +16,26 @@
     entry_started = 1001,
     entry_stopping = 1002,
     entry_stopped = 1003,
+    gateway_started = 1004,
+    gateway_stopping = 1005,
+    gateway_stopped = 1006,
+    readiness_changed = 1007,
+    settings_reloaded = 1008,
+    log_lines_dropped = 1009,
     configuration_taken = 1101,
     configuration_refused = 1102,
     platform_unreachable = 1201,
     platform_reachable = 1202,
+    store_lost = 1203,
+    store_regained = 1204,
     backend_leaving = 2101,
     backend_ejected = 2102,
     instance_leaving = 2103,
     instance_appeared = 2104,
     instance_gone = 2105,
+    backend_listed = 2106,
+    backend_gone = 2107,
+    backend_row_unreadable = 2108,
     stream_moved = 2201,
     stream_failed = 2202,
     journal_adopted = 2203,
@@ -39,6 +51,16 @@
     peer_link_closed = 3102,
     peer_refused = 3103,
     peer_frame_malformed = 3104,
+    request_finished = 4001,
+    request_refused = 4002,
+    attempt_failed = 4003,
+    caller_left = 4004,
+    answer_broken_off = 4005,
+    lease_taken = 5001,
+    lease_lost = 5002,
+    usage_reported = 5003,
+    fleet_ordered = 5004,
+    duty_call_failed = 5005,
     handler_failed = 9001
 };
 
@@ -67,12 +89,21 @@
 
 using log_fields = std::vector<std::pair<std::string_view, std::string>>;
 
-/// Sends the log to standard error, from `level` on (`debug`, `info`, `warning`, `error`).
+/// Sends the log to standard output, from `level` on (`debug`, `info`, `warning`, `error`).
+///
+/// Lines are kept in a bounded buffer and written without blocking; what does not fit is dropped
+/// and counted.
 void start_log(std::string const& level);
 
-/// The only way to log: `AW<number> <name> key=value ...`.
+/// The only way to log: one JSON object a line, with time, level, event number, name and fields.
 void log(log_event event, log_fields const& fields = {});
 
+/// Writes what is buffered, as far as the reader takes it.
+void flush_log();
+
+/// Lines dropped since the start.
+std::uint64_t log_lines_dropped();
+
 } // namespace auburnweir::transport
 
 #endif
--- a/src/transport/reply_writer.cpp
+++ b/src/transport/reply_writer.cpp
@@ -26,7 +26,7 @@
     if (!reply.content_type.empty())
         response.set(http::field::content_type, reply.content_type);
     for (auto const& [name, value] : reply.headers)
-        response.set(name, value);
+        response.insert(name, value);
 }
 
 } // namespace
--- /dev/null
+++ b/src/transport/store_watch.cpp
@@ -0,0 +1,196 @@
+#include "transport/store_watch.hpp"
+
+#include "transport/async_signal.hpp"
+#include "transport/log.hpp"
+
+#include <algorithm>
+
+namespace auburnweir::transport
+{
+
+namespace
+{
+
+/// Pause after a failed call to the store; short against the bounds of freshness.
+constexpr state::duration pause_after_fault = std::chrono::milliseconds{150};
+
+/// Time in which backend servers that were dropped while the store was away list themselves again.
+constexpr state::duration relisting_time = std::chrono::milliseconds{2300};
+
+std::string text_of(state::duration d)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+}
+
+} // namespace
+
+store_watch::store_watch(gateway_context& context)
+    : context_(context)
+    , io_(context.workers.at(0).io())
+{
+}
+
+void store_watch::start()
+{
+    net::co_spawn(io_, watch_configuration(), net::detached);
+    net::co_spawn(io_, watch_directory(), net::detached);
+}
+
+void store_watch::note(bool& reachable, std::string_view what, std::optional<store_fault> fault)
+{
+    bool const now_reachable = !fault;
+    if (now_reachable == reachable)
+        return;
+    reachable = now_reachable;
+    log(reachable ? log_event::store_regained : log_event::store_lost,
+        {{"watch", std::string{what}},
+         {"fault", fault ? std::string{name_of(*fault)} : ""},
+         {"configuration_age_ms", text_of(context_.tables.routes.age(now()))}});
+}
+
+net::awaitable<void> store_watch::watch_configuration()
+{
+    auto& store = context_.ports.store;
+    auto const& settings = context_.settings;
+    auto const table = context_.ports.format.operator_table();
+    bool whole = true;
+    state::row_version since;
+    for (;;)
+    {
+        store_result<row_listing> got = store_fault::unreachable;
+        if (whole)
+            got = co_await store.read_table(table, settings.store_timeout);
+        else
+            got = co_await store.changes(
+                table, since, settings.watch_wait, settings.watch_wait + settings.store_timeout);
+        if (!got)
+        {
+            whole = whole || got.error() == store_fault::history_dropped;
+            note(configuration_reachable_, "configuration", got.error());
+            co_await sleep_for(io_, pause_after_fault);
+            continue;
+        }
+        auto const& listing = got.value();
+        context_.clock.observe(listing.store_time, listing.asked, listing.received);
+        take_operator_rows(listing);
+        since = std::max(since, listing.version);
+        whole = false;
+        if (have_routes_)
+            context_.tables.routes.confirm(listing.asked);
+        note(configuration_reachable_, "configuration", std::nullopt);
+    }
+}
+
+void store_watch::take_operator_rows(row_listing const& listing)
+{
+    for (auto const& row : listing.rows)
+        if (row.key == context_.ports.format.configuration_key() && !row.removed)
+            take_configuration(row.value);
+}
+
+void store_watch::take_configuration(std::string const& text)
+{
+    state::findings found;
+    auto routes = context_.ports.format.configuration(text, found);
+    for (auto const& f : found)
+        log(log_event::configuration_refused,
+            {{"place", f.file}, {"key", f.key}, {"reason", f.reason}});
+    if (!routes)
+        return;
+    auto const version = routes->version();
+    auto const count = routes->routes();
+    auto const organisations = routes->organisations().size();
+    have_routes_ = true;
+    if (!context_.tables.routes.take(std::move(routes)))
+        return;
+    log(log_event::configuration_taken, {{"version", std::to_string(version.count())},
+                                         {"routes", std::to_string(count)},
+                                         {"organisations", std::to_string(organisations)}});
+}
+
+net::awaitable<void> store_watch::watch_directory()
+{
+    auto& store = context_.ports.store;
+    auto const& settings = context_.settings;
+    auto const table = context_.ports.format.directory_table();
+    bool whole = true;
+    state::row_version since;
+    for (;;)
+    {
+        store_result<row_listing> got = store_fault::unreachable;
+        if (whole)
+            got = co_await store.read_table(table, settings.store_timeout);
+        else
+            got = co_await store.changes(
+                table, since, state::duration::zero(), settings.store_timeout);
+        if (got)
+        {
+            take_servers(got.value(), whole);
+            since = std::max(since, got.value().version);
+            whole = false;
+            have_servers_ = true;
+            note(directory_reachable_, "directory", std::nullopt);
+        }
+        else
+        {
+            whole = whole || got.error() == store_fault::history_dropped;
+            directory_failed_at_ = now();
+            note(directory_reachable_, "directory", got.error());
+        }
+        for (auto const& gone : context_.tables.servers.expire_missing(now(), relisting_time))
+            log(log_event::backend_gone, {{"backend", gone.str()}, {"why", "not_listed_again"}});
+        co_await sleep_for(io_, got ? settings.directory_period : pause_after_fault);
+    }
+}
+
+void store_watch::take_servers(row_listing const& listing, bool whole)
+{
+    std::set<state::backend_id> listed;
+    for (auto const& row : listing.rows)
+    {
+        if (row.removed)
+            drop_server(state::backend_id{row.key});
+        else
+            take_server(row);
+        listed.insert(state::backend_id{row.key});
+    }
+    if (!whole)
+        return;
+    for (auto const& known : context_.tables.servers.names())
+        if (!listed.contains(known))
+            drop_server(known);
+}
+
+void store_watch::take_server(stored_row const& row)
+{
+    auto const listed = context_.ports.format.server(row.key, row.value);
+    if (!listed)
+    {
+        log(log_event::backend_row_unreadable, {{"backend", row.key}});
+        return;
+    }
+    using change = state::server_table::change;
+    auto const what = context_.tables.servers.apply(*listed, now());
+    if (what == change::none)
+        return;
+    log(what == change::leaving ? log_event::backend_leaving : log_event::backend_listed,
+        {{"backend", listed->id.str()},
+         {"service", listed->service.str()},
+         {"failure_domain", listed->failure_domain.str()},
+         {"address", listed->address.host + ":" + std::to_string(listed->address.port)},
+         {"life", std::to_string(listed->life.count())},
+         {"reclaimable", listed->reclaimable ? "yes" : "no"},
+         {"row", std::to_string(row.version.count())}});
+}
+
+void store_watch::drop_server(state::backend_id const& id)
+{
+    bool const store_was_away = directory_failed_at_ != state::time_point{} &&
+                                now() - directory_failed_at_ < relisting_time;
+    using change = state::server_table::change;
+    auto const what = context_.tables.servers.drop(id, store_was_away, now());
+    if (what == change::removed)
+        log(log_event::backend_gone, {{"backend", id.str()}, {"why", "not_listed"}});
+}
+
+} // namespace auburnweir::transport
