Share quotas, usage and duties among gateways over peer links

Change: a token bucket of the whole limit at each instance, reduced by what the others say they granted; a lease in the store for the duties; usage counts merged over instances.

--- /dev/null
+++ b/src/protocol/duty_record_codec.cpp
@@ -0,0 +1,124 @@
+#include "protocol/duty_record_codec.hpp"
+
+#include "protocol/element_reader.hpp"
+#include "protocol/option_table.hpp"
+
+namespace auburnweir::protocol
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+json encode_counts(state::usage_counts const& counts)
+{
+    auto out = json::array();
+    for (auto const& [organisation, count] : counts)
+        out.push_back({organisation.str(), count});
+    return out;
+}
+
+state::usage_counts read_counts(json const& from)
+{
+    state::usage_counts counts;
+    for (auto const& e : from)
+    {
+        element_reader in(e);
+        state::organisation_id const organisation{in.text()};
+        counts[organisation] = in.integer();
+    }
+    return counts;
+}
+
+json encode_usage(state::usage_by_writer const& usage)
+{
+    auto out = json::array();
+    for (auto const& [window, writers] : usage)
+        for (auto const& [writer, counts] : writers)
+            out.push_back(
+                {window.count(), writer.id.str(), writer.life.count(), encode_counts(counts)});
+    return out;
+}
+
+state::usage_by_writer read_usage(json const& from)
+{
+    state::usage_by_writer usage;
+    for (auto const& e : from)
+    {
+        element_reader in(e);
+        state::window_number const window{in.integer()};
+        state::usage_writer writer;
+        writer.id = state::instance_id{in.text()};
+        writer.life = state::incarnation{in.number()};
+        usage[window][writer] = read_counts(in.array());
+    }
+    return usage;
+}
+
+coordination::duty_record read_record(json const& from)
+{
+    element_reader in(from);
+    coordination::duty_record record;
+    record.lease.holder = state::instance_id{in.text()};
+    record.lease.fencing = state::fencing_number{in.number()};
+    record.lease.until = state::wall_time{std::chrono::milliseconds{in.integer()}};
+    record.reported_through = state::window_number{in.integer()};
+    record.usage = read_usage(in.array());
+    if (in.at_end())
+        return record;
+    auto& pending = record.pending.emplace();
+    pending.window = state::window_number{in.integer()};
+    pending.counts = read_counts(in.array());
+    return record;
+}
+
+std::string to_text(json const& value)
+{
+    auto const bytes = json::to_cbor(value);
+    return {bytes.begin(), bytes.end()};
+}
+
+} // namespace
+
+std::string encode_duty_record(coordination::duty_record const& record)
+{
+    auto out = json::array(
+        {record.lease.holder.str(), record.lease.fencing.count(),
+         record.lease.until.time_since_epoch().count(), record.reported_through.count(),
+         encode_usage(record.usage)});
+    if (record.pending)
+    {
+        out.push_back(record.pending->window.count());
+        out.push_back(encode_counts(record.pending->counts));
+    }
+    return to_text(out);
+}
+
+std::optional<coordination::duty_record> decode_duty_record(std::string_view text)
+{
+    auto const parsed = json::from_cbor(text, true, false);
+    if (parsed.is_discarded())
+        return std::nullopt;
+    try
+    {
+        return read_record(parsed);
+    }
+    catch (malformed const&)
+    {
+        // The caller logs that the row can't be read.
+        return std::nullopt;
+    }
+}
+
+std::string encode_instance_address(state::endpoint const& address)
+{
+    return address.host + ":" + std::to_string(address.port);
+}
+
+std::optional<state::endpoint> decode_instance_address(std::string_view text)
+{
+    return parse_endpoint(text);
+}
+
+} // namespace auburnweir::protocol
--- /dev/null
+++ b/src/protocol/element_reader.hpp
@@ -0,0 +1,90 @@
+#ifndef AUBURNWEIR_PROTOCOL_ELEMENT_READER_HPP
+#define AUBURNWEIR_PROTOCOL_ELEMENT_READER_HPP
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace auburnweir::protocol
+{
+
+/// Thrown inside the codecs of peer messages when a message is not as it should be.
+struct malformed
+{
+    char const* reason;
+};
+
+inline void require(bool holds, char const* reason)
+{
+    if (!holds)
+        throw malformed{reason};
+}
+
+/// Reads the elements of a message array in order, checking their types.
+class element_reader
+{
+public:
+    explicit element_reader(nlohmann::json const& message)
+        : message_(message)
+    {
+        require(message.is_array(), "message is not an array");
+    }
+
+    std::uint64_t number()
+    {
+        auto const& e = next();
+        require(e.is_number_unsigned(), "element is not an unsigned number");
+        return e.get<std::uint64_t>();
+    }
+
+    std::int64_t integer()
+    {
+        auto const& e = next();
+        require(e.is_number_integer(), "element is not a whole number");
+        return e.get<std::int64_t>();
+    }
+
+    std::string text()
+    {
+        auto const& e = next();
+        require(e.is_string(), "element is not text");
+        return e.get<std::string>();
+    }
+
+    double decimal()
+    {
+        auto const& e = next();
+        require(e.is_number(), "element is not a number");
+        return e.get<double>();
+    }
+
+    bool flag()
+    {
+        auto const& e = next();
+        require(e.is_boolean(), "element is not a flag");
+        return e.get<bool>();
+    }
+
+    nlohmann::json const& array()
+    {
+        auto const& e = next();
+        require(e.is_array(), "element is not an array");
+        return e;
+    }
+
+    bool at_end() const { return index_ == message_.size(); }
+
+private:
+    nlohmann::json const& next()
+    {
+        require(index_ < message_.size(), "message is too short");
+        return message_[index_++];
+    }
+
+    nlohmann::json const& message_;
+    std::size_t index_ = 0;
+};
+
+} // namespace auburnweir::protocol
+
+#endif
--- a/src/protocol/entry_settings.cpp
+++ b/src/protocol/entry_settings.cpp
@@ -12,21 +12,6 @@
 
 using settings = entry_settings;
 
-option<settings> peer_key_option()
-{
-    constexpr std::size_t shortest = 16;
-    return text_option<settings>(
-        "peer_key", "shared key of all entry instances, proved on each peer link", "",
-        "16 characters or more", true,
-        [](settings& s, std::string const& v) -> value_fault
-        {
-            if (v.size() < shortest)
-                return "shorter than 16 characters";
-            s.peer_key = v;
-            return std::nullopt;
-        });
-}
-
 option_table<settings> const& entry_options()
 {
     static option_table<settings> const table{
@@ -47,7 +32,7 @@
                 s.configuration_file = v;
                 return std::nullopt;
             }),
-        peer_key_option(),
+        peer_key_option(&settings::peer_key),
         choice_option(
             "log_level", "least severe events that are logged", "info",
             {"debug", "info", "warning", "error"}, &settings::log_level),
--- a/src/protocol/gateway_settings.cpp
+++ b/src/protocol/gateway_settings.cpp
@@ -31,6 +31,10 @@
         endpoint_option(
             "metrics_listen", "address that serves /metrics", "127.0.0.1:0",
             &settings::metrics_listen),
+        endpoint_option(
+            "peer_listen", "address for the other instances", "127.0.0.1:0",
+            &settings::peer_listen),
+        peer_key_option(&settings::peer_key),
         endpoint_option("store", "address of the platform's store", "", &settings::store),
         endpoint_option(
             "fleet", "address of the platform's calls for usage and orders", "", &settings::fleet),
@@ -82,7 +86,7 @@
             "directory_period_ms", "time between looks for changed backend servers", "700", 50,
             60000, &settings::directory_period),
         milliseconds_option(
-            "report_period_ms", "time between reports to the other instances", "1000", 50, 60000,
+            "report_period_ms", "time between reports to the other instances", "300", 50, 60000,
             &settings::report_period),
         milliseconds_option(
             "connect_timeout_ms", "time for a backend server to accept a connection", "400", 10,
--- a/src/protocol/gateway_settings.hpp
+++ b/src/protocol/gateway_settings.hpp
@@ -23,6 +23,8 @@
     state::endpoint ready_listen;
     std::string ready_path;
     state::endpoint metrics_listen;
+    state::endpoint peer_listen;
+    std::string peer_key;
     state::endpoint store;
     state::endpoint fleet;
     std::string log_level;
--- /dev/null
+++ b/src/protocol/instance_report_codec.cpp
@@ -0,0 +1,116 @@
+#include "protocol/instance_report_codec.hpp"
+
+namespace auburnweir::protocol
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+json encode_usage(state::usage_by_window const& usage)
+{
+    auto out = json::array();
+    for (auto const& [window, counts] : usage)
+        for (auto const& [organisation, count] : counts)
+            out.push_back({window.count(), organisation.str(), count});
+    return out;
+}
+
+state::usage_by_window read_usage(json const& from)
+{
+    state::usage_by_window usage;
+    for (auto const& e : from)
+    {
+        element_reader in(e);
+        state::window_number const window{in.integer()};
+        state::organisation_id const organisation{in.text()};
+        usage[window][organisation] = in.integer();
+    }
+    return usage;
+}
+
+json encode_loads(std::map<state::service_id, state::service_load> const& loads)
+{
+    auto out = json::array();
+    for (auto const& [service, load] : loads)
+        out.push_back(
+            {service.str(), load.running, load.requests, load.prompt_tokens, load.output_tokens,
+             load.refused});
+    return out;
+}
+
+std::map<state::service_id, state::service_load> read_loads(json const& from)
+{
+    std::map<state::service_id, state::service_load> loads;
+    for (auto const& e : from)
+    {
+        element_reader in(e);
+        state::service_id const service{in.text()};
+        auto& load = loads[service];
+        load.running = in.integer();
+        load.requests = in.integer();
+        load.prompt_tokens = in.integer();
+        load.output_tokens = in.integer();
+        load.refused = in.integer();
+    }
+    return loads;
+}
+
+} // namespace
+
+void append_report(json& out, state::instance_report const& report)
+{
+    out.push_back(report.id.str());
+    out.push_back(report.life.count());
+    out.push_back(report.failure_domain.str());
+    out.push_back(report.peer_address.host);
+    out.push_back(report.peer_address.port);
+    out.push_back(report.sequence);
+    out.push_back(report.heard);
+    out.push_back(report.stopping);
+    out.push_back(report.holds_duties);
+    auto consumed = json::array();
+    for (auto const& [organisation, units] : report.consumed)
+        consumed.push_back({organisation.str(), units});
+    out.push_back(std::move(consumed));
+    if (!report.details)
+        return;
+    out.push_back(report.details->wall_offset.count());
+    out.push_back(report.details->counted_until.count());
+    out.push_back(encode_usage(report.details->usage));
+    out.push_back(encode_loads(report.details->loads));
+}
+
+state::instance_report read_report(element_reader& in)
+{
+    constexpr std::uint64_t highest_port = 65535;
+    state::instance_report report;
+    report.id = state::instance_id{in.text()};
+    report.life = state::incarnation{in.number()};
+    report.failure_domain = state::failure_domain_id{in.text()};
+    report.peer_address.host = in.text();
+    auto const port = in.number();
+    require(port <= highest_port, "port is too large");
+    report.peer_address.port = static_cast<std::uint16_t>(port);
+    report.sequence = in.number();
+    report.heard = in.number();
+    report.stopping = in.flag();
+    report.holds_duties = in.flag();
+    for (auto const& e : in.array())
+    {
+        element_reader entry(e);
+        state::organisation_id const organisation{entry.text()};
+        report.consumed[organisation] = entry.decimal();
+    }
+    if (in.at_end())
+        return report;
+    auto& details = report.details.emplace();
+    details.wall_offset = std::chrono::milliseconds{in.integer()};
+    details.counted_until = std::chrono::milliseconds{in.integer()};
+    details.usage = read_usage(in.array());
+    details.loads = read_loads(in.array());
+    return report;
+}
+
+} // namespace auburnweir::protocol
--- /dev/null
+++ b/src/protocol/instance_report_codec.hpp
@@ -0,0 +1,18 @@
+#ifndef AUBURNWEIR_PROTOCOL_INSTANCE_REPORT_CODEC_HPP
+#define AUBURNWEIR_PROTOCOL_INSTANCE_REPORT_CODEC_HPP
+
+#include "protocol/element_reader.hpp"
+#include "state/instance_report.hpp"
+
+namespace auburnweir::protocol
+{
+
+/// Appends a report's elements to a message array.
+void append_report(nlohmann::json& out, state::instance_report const& report);
+
+/// @throws malformed
+state::instance_report read_report(element_reader& in);
+
+} // namespace auburnweir::protocol
+
+#endif
--- a/src/protocol/option_kinds.hpp
+++ b/src/protocol/option_kinds.hpp
@@ -83,6 +83,23 @@
         });
 }
 
+/// Option that holds the key shared by all instances.
+template <class Settings>
+option<Settings> peer_key_option(std::string Settings::*member)
+{
+    constexpr std::size_t shortest = 16;
+    return text_option<Settings>(
+        "peer_key", "shared key of all instances, proved on each peer link", "",
+        "16 characters or more", true,
+        [member](Settings& s, std::string const& v) -> value_fault
+        {
+            if (v.size() < shortest)
+                return "shorter than 16 characters";
+            s.*member = v;
+            return std::nullopt;
+        });
+}
+
 /// Reads a text that consists of one section.
 /// @return null when there is any finding
 template <class Settings>
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -1,6 +1,8 @@
 #include "protocol/peer_message.hpp"
 
 #include "protocol/chat_codec.hpp"
+#include "protocol/element_reader.hpp"
+#include "protocol/instance_report_codec.hpp"
 #include "protocol/json.hpp"
 #include "state/overloaded.hpp"
 
@@ -25,7 +27,8 @@
     grouped_write = 8,
     grouped_result = 9,
     peer_ping = 10,
-    peer_pong = 11
+    peer_pong = 11,
+    instance_report = 12
 };
 
 /// Second element of an encoded write result.
@@ -40,81 +43,11 @@
 constexpr int not_finished = -1;
 constexpr int read_recently_flag = 16; ///< added to an ack's status
 
-/// Thrown inside this file when a message is not as it should be.
-struct malformed
-{
-    char const* reason;
-};
-
-void require(bool holds, char const* reason)
-{
-    if (!holds)
-        throw malformed{reason};
-}
-
 json array_of(message_kind kind)
 {
     return json::array({static_cast<int>(kind)});
 }
 
-/// Reads the elements of a message array in order, checking their types.
-class element_reader
-{
-public:
-    explicit element_reader(json const& message)
-        : message_(message)
-    {
-        require(message.is_array(), "message is not an array");
-    }
-
-    std::uint64_t number()
-    {
-        auto const& e = next();
-        require(e.is_number_unsigned(), "element is not an unsigned number");
-        return e.get<std::uint64_t>();
-    }
-
-    std::int64_t integer()
-    {
-        auto const& e = next();
-        require(e.is_number_integer(), "element is not a whole number");
-        return e.get<std::int64_t>();
-    }
-
-    std::string text()
-    {
-        auto const& e = next();
-        require(e.is_string(), "element is not text");
-        return e.get<std::string>();
-    }
-
-    bool flag()
-    {
-        auto const& e = next();
-        require(e.is_boolean(), "element is not a flag");
-        return e.get<bool>();
-    }
-
-    json const& array()
-    {
-        auto const& e = next();
-        require(e.is_array(), "element is not an array");
-        return e;
-    }
-
-    bool at_end() const { return index_ == message_.size(); }
-
-private:
-    json const& next()
-    {
-        require(index_ < message_.size(), "message is too short");
-        return message_[index_++];
-    }
-
-    json const& message_;
-    std::size_t index_ = 0;
-};
-
 void append_part(json& out, state::journal_part const& part)
 {
     out.push_back(part.first.count());
@@ -288,6 +221,13 @@
     return out;
 }
 
+json encode_one(state::instance_report const& m)
+{
+    auto out = array_of(message_kind::instance_report);
+    append_report(out, m);
+    return out;
+}
+
 state::write_result read_result(element_reader& in)
 {
     switch (static_cast<result_kind>(in.integer()))
@@ -409,6 +349,8 @@
         return peer_ping{correlation{in.number()}};
     case message_kind::peer_pong:
         return peer_pong{correlation{in.number()}};
+    case message_kind::instance_report:
+        return read_report(in);
     }
     throw malformed{"unknown message kind"};
 }
--- a/src/state/lock_rank.hpp
+++ b/src/state/lock_rank.hpp
@@ -16,6 +16,7 @@
     backend_table = 30,
     prefix_index = 40,
     retry_budget = 50,
+    load = 51,
     quota = 52,
     usage = 53,
     instance_reports = 54,
--- a/src/state/usage_table.hpp
+++ b/src/state/usage_table.hpp
@@ -1,41 +1,119 @@
 #ifndef AUBURNWEIR_STATE_USAGE_TABLE_HPP
 #define AUBURNWEIR_STATE_USAGE_TABLE_HPP
 
-#include "state/instance_report.hpp"
+#include "state/ids.hpp"
 #include "state/lock_rank.hpp"
 
+#include <algorithm>
+#include <map>
+
 namespace auburnweir::state
 {
 
-/// Requests that began to run through this instance, by window and organisation.
+/// Number of a usage window; window k begins k window lengths after the epoch, in true time.
+using window_number = quantity<struct window_unit, std::int64_t>;
+
+/// Requests of each organisation that began to run in one window.
+using usage_counts = std::map<organisation_id, std::int64_t>;
+using usage_by_window = std::map<window_number, usage_counts>;
+
+/// Who counted: one life of one instance.
+struct usage_writer
+{
+    instance_id id;
+    incarnation life;
+
+    friend auto operator<=>(usage_writer const&, usage_writer const&) = default;
+};
+
+/// Counts of all writers. Merging is commutative and idempotent: each count only grows.
+using usage_by_writer = std::map<window_number, std::map<usage_writer, usage_counts>>;
+
+/// Requests that began to run, by window, by the instance that saw them and by organisation.
 ///
 /// Thread-safe; takes `lock_rank::usage`.
 class usage_table
 {
 public:
+    /// @param windows_kept  older windows are forgotten
     explicit usage_table(std::size_t windows_kept)
         : windows_kept_(windows_kept)
     {
     }
 
-    void record(window_number window, organisation_id const& organisation)
+    void record(usage_writer const& self, window_number window, organisation_id const& organisation)
     {
         ranked_lock lock(mutex_);
-        ++counts_[window][organisation];
-        while (counts_.size() > windows_kept_)
-            counts_.erase(counts_.begin());
+        ++counts_[window][self][organisation];
+        forget_old();
+    }
+
+    void merge(usage_writer const& writer, usage_by_window const& counts)
+    {
+        ranked_lock lock(mutex_);
+        for (auto const& [window, by_organisation] : counts)
+            merge_into(counts_[window][writer], by_organisation);
+        forget_old();
+    }
+
+    void merge(usage_by_writer const& counts)
+    {
+        ranked_lock lock(mutex_);
+        for (auto const& [window, writers] : counts)
+            for (auto const& [writer, by_organisation] : writers)
+                merge_into(counts_[window][writer], by_organisation);
+        forget_old();
+    }
+
+    usage_by_window of(usage_writer const& writer) const
+    {
+        ranked_lock lock(mutex_);
+        usage_by_window result;
+        for (auto const& [window, writers] : counts_)
+            if (auto const it = writers.find(writer); it != writers.end())
+                result[window] = it->second;
+        return result;
+    }
+
+    usage_by_writer since(window_number first) const
+    {
+        ranked_lock lock(mutex_);
+        return {counts_.lower_bound(first), counts_.end()};
     }
 
-    std::map<window_number, usage_counts> counts() const
+    /// All writers' counts of a window together.
+    usage_counts total(window_number window) const
     {
         ranked_lock lock(mutex_);
-        return counts_;
+        usage_counts sum;
+        auto const it = counts_.find(window);
+        if (it == counts_.end())
+            return sum;
+        for (auto const& [writer, by_organisation] : it->second)
+            for (auto const& [organisation, count] : by_organisation)
+                sum[organisation] += count;
+        return sum;
     }
 
 private:
+    static void merge_into(usage_counts& into, usage_counts const& from)
+    {
+        for (auto const& [organisation, count] : from)
+        {
+            auto& known = into[organisation];
+            known = std::max(known, count);
+        }
+    }
+
+    void forget_old()
+    {
+        while (counts_.size() > windows_kept_)
+            counts_.erase(counts_.begin());
+    }
+
     std::size_t windows_kept_;
     mutable ranked_mutex mutex_{lock_rank::usage};
-    std::map<window_number, usage_counts> counts_;
+    usage_by_writer counts_;
 };
 
 } // namespace auburnweir::state
--- /dev/null
+++ b/src/transport/duty_runner.cpp
@@ -0,0 +1,231 @@
+#include "transport/duty_runner.hpp"
+
+#include "protocol/duty_record_codec.hpp"
+#include "transport/async_signal.hpp"
+#include "transport/log.hpp"
+
+namespace auburnweir::transport
+{
+
+namespace
+{
+
+/// How often the duties are looked at.
+constexpr state::duration step = std::chrono::milliseconds{250};
+
+/// A holder renews its lease after this part of its length.
+constexpr int renewals_per_length = 4;
+
+/// Longest that a call of the duties travels; the lease outlasts it.
+constexpr state::duration call_limit = std::chrono::milliseconds{800};
+
+/// Uncertainty of the estimate of the store's clock.
+constexpr state::duration clock_bound = std::chrono::milliseconds{200};
+
+/// Pause between the tries of neighbouring ranks, so that a lost holder is not replaced by a herd.
+constexpr state::duration rank_delay = std::chrono::milliseconds{250};
+
+constexpr std::size_t most_ranks = 12;
+
+constexpr char const* duty_table_name = "auburnweir-duties";
+constexpr char const* duty_key = "lease";
+
+} // namespace
+
+duty_runner::duty_runner(gateway_context& context, peer_exchange& peers)
+    : context_(context)
+    , peers_(peers)
+{
+    lease_.length = context.settings.lease_bound + call_limit;
+    lease_.clock_bound = clock_bound;
+    lease_.delivery_bound = call_limit;
+}
+
+void duty_runner::start()
+{
+    net::co_spawn(context_.workers.at(0).io(), run(), net::detached);
+}
+
+state::window_number duty_runner::current_window() const
+{
+    auto const since_epoch = context_.clock.true_time().time_since_epoch();
+    return state::window_number{since_epoch / context_.settings.usage_window};
+}
+
+bool duty_runner::may_act() const
+{
+    return held_ && coordination::may_order(
+                        held_->record.lease, context_.settings.id, state::fencing_mode::ignored,
+                        context_.clock.store_latest(), lease_);
+}
+
+void duty_runner::lose(std::string_view why)
+{
+    if (held_)
+        log(log_event::lease_lost,
+            {{"fencing", std::to_string(held_->record.lease.fencing.count())},
+             {"why", std::string{why}}});
+    held_.reset();
+    peers_.holds_duties(false);
+    without_holder_since_ = now();
+}
+
+state::duration duty_runner::takeover_delay() const
+{
+    // Longer than a lost holder's lease only for the lower ranks.
+    return rank_delay * static_cast<std::int64_t>(std::min(peers_.rank(), most_ranks));
+}
+
+net::awaitable<void> duty_runner::run()
+{
+    auto& io = context_.workers.at(0).io();
+    without_holder_since_ = now();
+    while (!context_.stopping)
+    {
+        co_await sleep_for(io, step);
+        if (is_holder())
+            co_await hold();
+        else if (peers_.others_hold_duties())
+            without_holder_since_ = now();
+        else if (now() - without_holder_since_ >= takeover_delay())
+            co_await try_to_take();
+    }
+    lose("stopping");
+}
+
+net::awaitable<void> duty_runner::try_to_take()
+{
+    // The next try waits its turn again.
+    without_holder_since_ = now();
+    auto& store = context_.ports.store;
+    table_name const table{duty_table_name};
+    std::string const key{duty_key};
+    auto const listing = co_await store.read_row(table, key, context_.settings.store_timeout);
+    if (!listing)
+        co_return;
+    auto const& got = listing.value();
+    context_.clock.observe(got.store_time, got.asked, got.received);
+    held_row row;
+    std::optional<state::lease_record> current;
+    if (!got.rows.empty())
+    {
+        row.version = got.rows.front().version;
+        auto const record = protocol::decode_duty_record(got.rows.front().value);
+        if (record)
+        {
+            row.record = *record;
+            current = record->lease;
+        }
+        else
+            log(log_event::duty_call_failed, {{"call", "read_lease"}, {"why", "unreadable_row"}});
+    }
+    else
+        row.record.reported_through = state::window_number{current_window().count() - 1};
+    auto const wanted = coordination::wanted_lease(
+        current, context_.settings.id, context_.clock.store_earliest(), lease_);
+    if (!wanted)
+        co_return;
+    context_.tables.usage.merge(row.record.usage);
+    held_ = row;
+    auto record = row.record;
+    record.lease = *wanted;
+    if (!co_await save(std::move(record)))
+        co_return;
+    peers_.holds_duties(true);
+    log(log_event::lease_taken,
+        {{"fencing", std::to_string(wanted->fencing.count())},
+         {"before", current ? current->holder.str() : ""},
+         {"reported_through", std::to_string(held_->record.reported_through.count())}});
+}
+
+net::awaitable<bool> duty_runner::save(coordination::duty_record record)
+{
+    auto const first = state::window_number{record.reported_through.count() + 1};
+    record.usage = context_.tables.usage.since(first);
+    conditional_write write;
+    write.table = table_name{duty_table_name};
+    write.key = duty_key;
+    write.value = protocol::encode_duty_record(record);
+    write.expected = held_->version;
+    auto const result = co_await context_.ports.store.write(write, context_.settings.store_timeout);
+    if (auto const* taken = std::get_if<write_taken>(&result))
+    {
+        context_.clock.observe(taken->store_time, taken->asked, taken->received);
+        held_ = held_row{std::move(record), taken->version};
+        renewed_at_ = now();
+        co_return true;
+    }
+    // A write without an answer may have been done: what the row holds now has to be read again.
+    if (std::holds_alternative<write_stale>(result))
+        lose("another_write");
+    else
+        lose(name_of(std::get<store_fault>(result)));
+    co_return false;
+}
+
+net::awaitable<void> duty_runner::hold()
+{
+    auto record = held_->record;
+    auto const wanted = coordination::wanted_lease(
+        record.lease, context_.settings.id, context_.clock.store_latest(), lease_);
+    if (!wanted || wanted->fencing != record.lease.fencing)
+    {
+        lose("expired");
+        co_return;
+    }
+    if (record.pending && may_act())
+    {
+        co_await report_usage();
+        co_return;
+    }
+    bool const due = !record.pending && coordination::usage_is_due(progress());
+    if (due)
+    {
+        auto const window = state::window_number{record.reported_through.count() + 1};
+        record.pending = coordination::pending_usage{window, context_.tables.usage.total(window)};
+    }
+    bool const renew = now() - renewed_at_ >= lease_.length / renewals_per_length;
+    if (!due && !renew)
+        co_return;
+    record.lease = *wanted;
+    co_await save(std::move(record));
+}
+
+coordination::usage_progress duty_runner::progress() const
+{
+    coordination::usage_progress p;
+    p.reported_through = held_->record.reported_through;
+    p.current = current_window();
+    auto const next = p.reported_through.count() + 1;
+    auto const end = (next + 1) * context_.settings.usage_window;
+    p.since_end = context_.clock.true_time().time_since_epoch() - end;
+    auto const peers = context_.tables.reports.all();
+    p.all_counted = std::all_of(
+        peers.begin(), peers.end(),
+        [&](auto const& peer) { return peer.details.counted_until >= end; });
+    return p;
+}
+
+net::awaitable<void> duty_runner::report_usage()
+{
+    auto const pending = *held_->record.pending;
+    auto const lease = held_->record.lease;
+    auto const result = co_await context_.ports.fleet.report_usage(
+        lease, pending.window, pending.counts, call_limit);
+    if (result != duty_result::accepted)
+    {
+        log(log_event::duty_call_failed,
+            {{"call", "report_usage"}, {"window", std::to_string(pending.window.count())}});
+        co_return;
+    }
+    context_.tables.counters.increment(state::event_counter::usage_reports_sent);
+    log(log_event::usage_reported, {{"window", std::to_string(pending.window.count())},
+                                    {"organisations", std::to_string(pending.counts.size())},
+                                    {"fencing", std::to_string(lease.fencing.count())}});
+    if (!held_)
+        co_return;
+    held_->record.reported_through = pending.window;
+    held_->record.pending.reset();
+}
+
+} // namespace auburnweir::transport
--- /dev/null
+++ b/src/transport/duty_runner.hpp
@@ -0,0 +1,49 @@
+#ifndef AUBURNWEIR_TRANSPORT_DUTY_RUNNER_HPP
+#define AUBURNWEIR_TRANSPORT_DUTY_RUNNER_HPP
+
+#include "coordination/duty_lease.hpp"
+#include "transport/gateway_context.hpp"
+#include "transport/peer_exchange.hpp"
+
+namespace auburnweir::transport
+{
+
+/// Runs the duties that one instance at a time has: usage reports and fleet orders.
+class duty_runner
+{
+public:
+    duty_runner(gateway_context& context, peer_exchange& peers);
+
+    void start();
+
+private:
+    /// The lease's row as this instance knows it.
+    struct held_row
+    {
+        coordination::duty_record record;
+        state::row_version version;
+    };
+
+    net::awaitable<void> run();
+    net::awaitable<void> try_to_take();
+    net::awaitable<void> hold();
+    net::awaitable<bool> save(coordination::duty_record record);
+    net::awaitable<void> report_usage();
+    coordination::usage_progress progress() const;
+    bool may_act() const;
+    bool is_holder() const { return held_.has_value(); }
+    void lose(std::string_view why);
+    state::window_number current_window() const;
+    state::duration takeover_delay() const;
+
+    gateway_context& context_;
+    peer_exchange& peers_;
+    coordination::lease_settings lease_;
+    std::optional<held_row> held_;
+    state::time_point renewed_at_{};
+    state::time_point without_holder_since_{};
+};
+
+} // namespace auburnweir::transport
+
+#endif
--- a/src/transport/gateway_server.cpp
+++ b/src/transport/gateway_server.cpp
@@ -2,8 +2,10 @@
 
 #include "protocol/metrics_text.hpp"
 #include "transport/async_signal.hpp"
+#include "transport/duty_runner.hpp"
 #include "transport/gateway_connection.hpp"
 #include "transport/log.hpp"
+#include "transport/peer_exchange.hpp"
 #include "transport/status_server.hpp"
 #include "transport/store_watch.hpp"
 
@@ -56,6 +58,12 @@
                   {*ports.dialect, *ports.format, *ports.store, *ports.fleet},
                   stopping,
                   requests_in_progress}
+        , links(
+              settings.id, settings.peer_key,
+              [this](auto const&, auto, protocol::peer_message m)
+              { peers.receive(std::move(m)); })
+        , peers(context, links)
+        , duties(context, peers)
         , watch(context)
         , callers(
               workers,
@@ -87,6 +95,9 @@
     shared_clock clock;
     owned_ports ports;
     gateway_context context;
+    peer_links links;
+    peer_exchange peers;
+    duty_runner duties;
     store_watch watch;
     caller_listener callers;
     status_server readiness;
@@ -98,6 +109,7 @@
     std::uint16_t caller_port = 0;
     std::uint16_t ready_port = 0;
     std::uint16_t metrics_port = 0;
+    std::uint16_t peer_port = 0;
 };
 
 bool gateway_server::parts::is_ready() const
@@ -217,6 +229,9 @@
     auto& p = *parts_;
     p.subscriptions.push_back(p.timers.every(log_flush_period, [&p] { p.flush(); }));
     p.await_signal();
+    p.links.start();
+    p.peers.start();
+    p.duties.start();
     p.watch.start();
     p.callers.start();
     p.readiness.start();
@@ -226,6 +241,7 @@
                                      {"failure_domain", p.settings.failure_domain.str()}});
     p.workers.start();
     p.workers.join();
+    p.links.stop();
     log(log_event::gateway_stopped,
         {{"instance", p.settings.id.str()},
          {"requests_in_progress", std::to_string(p.requests_in_progress.load())}});
@@ -264,7 +280,8 @@
     p->caller_port = p->callers.listen(settings_.listen);
     p->ready_port = p->readiness.listen(settings_.ready_listen);
     p->metrics_port = p->metrics.listen(settings_.metrics_listen);
-    if (p->caller_port == 0 || p->ready_port == 0 || p->metrics_port == 0)
+    p->peer_port = p->links.listen(settings_.peer_listen);
+    if (p->caller_port == 0 || p->ready_port == 0 || p->metrics_port == 0 || p->peer_port == 0)
     {
         fault = "an address to listen on can't be had";
         return nullptr;
--- a/src/transport/gateway_tables.hpp
+++ b/src/transport/gateway_tables.hpp
@@ -1,12 +1,13 @@
 #ifndef AUBURNWEIR_TRANSPORT_GATEWAY_TABLES_HPP
 #define AUBURNWEIR_TRANSPORT_GATEWAY_TABLES_HPP
 
-#include "coordination/quota_shares.hpp"
 #include "coordination/repeat_budget.hpp"
+#include "coordination/shared_quota.hpp"
 #include "protocol/gateway_settings.hpp"
 #include "state/counters.hpp"
 #include "state/instance_report_table.hpp"
 #include "state/latency_histogram.hpp"
+#include "state/load_table.hpp"
 #include "state/route_table.hpp"
 #include "state/server_table.hpp"
 #include "state/usage_table.hpp"
@@ -18,8 +19,7 @@
 struct gateway_tables
 {
     explicit gateway_tables(protocol::gateway_settings const& settings)
-        : quotas(settings.id, {})
-        , repeats(repeat_limits_of(settings))
+        : repeats(repeat_limits_of(settings))
         , usage(usage_windows_kept)
     {
     }
@@ -35,9 +35,10 @@
 
     state::route_table routes;
     state::server_table servers;
-    coordination::quota_shares quotas;
+    coordination::shared_quota quotas;
     coordination::repeat_budget repeats;
     state::usage_table usage;
+    state::load_table loads;
     state::instance_report_table reports;
     state::counters counters;
     state::latency_histogram first_part; ///< arrival to the answer's first byte
--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -133,6 +133,25 @@
     co_return std::move(q->answer);
 }
 
+void peer_links::drop(state::instance_id const& peer)
+{
+    state::ranked_lock lock(mutex_);
+    auto const it = outbound_.find(peer);
+    if (it == outbound_.end())
+        return;
+    endpoint_.close(it->second);
+    outbound_.erase(it);
+}
+
+state::duration peer_links::age(state::instance_id const& peer, state::time_point now)
+{
+    state::ranked_lock lock(mutex_);
+    auto const it = outbound_.find(peer);
+    if (it == outbound_.end())
+        return state::duration::zero();
+    return now - links_.at(it->second).since;
+}
+
 void peer_links::sweep(state::time_point now)
 {
     state::ranked_lock lock(mutex_);
--- a/src/transport/peer_links.hpp
+++ b/src/transport/peer_links.hpp
@@ -50,6 +50,12 @@
         net::io_context& io, state::instance to,
         std::function<protocol::peer_message(protocol::correlation)> make, state::duration limit);
 
+    /// Closes the link that was opened to a peer; the next message opens a new one.
+    void drop(state::instance_id const& peer);
+
+    /// How long the link to a peer is open; zero when there is none.
+    state::duration age(state::instance_id const& peer, state::time_point now);
+
     /// Closes links that did not prove the key within the handshake time. Call it regularly.
     void sweep(state::time_point now);
 
