--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -185,8 +185,10 @@
         ::recv(c.stream.socket().native_handle(), room.data(), room.size(), MSG_DONTWAIT);
     if (got > 0)
         c.buffer.commit(static_cast<std::size_t>(got));
-    else if (got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR))
+    else if (got == 0)
         fault = net::error::eof;
+    else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+        fault = net::error::connection_reset; // not the end of an answer without a length
     co_return fault;
 }
 
