--- a/src/transport/duty_runner.cpp
+++ b/src/transport/duty_runner.cpp
@@ -80,7 +80,7 @@
 {
     auto& io = context_.workers.at(0).io();
     without_holder_since_ = now();
-    while (!context_.stopping)
+    while (context_.phase == stop_phase::running)
     {
         co_await sleep_for(io, step);
         if (is_holder())
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -34,6 +34,8 @@
 constexpr state::duration retry_when_full = std::chrono::milliseconds{400};
 constexpr state::duration retry_when_unready = std::chrono::milliseconds{700};
 
+constexpr state::duration retry_when_stopping = std::chrono::milliseconds{50};
+
 /// Part of a freshness bound that is kept in hand for the way from the check to the server.
 constexpr state::duration freshness_margin = std::chrono::milliseconds{400};
 
@@ -172,6 +174,12 @@
 
 net::awaitable<void> forwarder::run()
 {
+    if (context_.phase == stop_phase::refusing)
+    {
+        refuse(refusal_reason::stopping, retry_when_stopping, "");
+        co_await refuse_now();
+        co_return;
+    }
     if (!admit())
     {
         co_await refuse_now();
@@ -250,8 +258,13 @@
     policy.cancel = cancel_;
     if (route_->repeat == state::repeat_rule::at_most_once)
         policy.longest_idle = longest_idle_at_most_once;
-    policy.is_answer = [this](http_fields const& fields)
-    { return context_.ports.dialect.decode_answer(0, fields).request == head_.id.str(); };
+    policy.is_answer = [this](int status, http_fields const& fields)
+    {
+        auto const answer = context_.ports.dialect.decode_answer(status, fields);
+        // A refusal need not name the request: the server did not take it up.
+        bool const refusal = answer.request.empty() && answer.not_run;
+        return refusal || answer.request == head_.id.str();
+    };
 
     ++progress_.sends;
     tried_.insert(server.listed.id);
@@ -306,6 +319,7 @@
     bool const failed = status >= first_error_status || promises_not_run(status);
     if (failed)
     {
+        progress_.time_left = time_left();
         auto const decision = coordination::decide_attempt(attempt_failed{}, progress_, true);
         bool const repeatable = std::holds_alternative<coordination::send_again>(decision) &&
                                 context_.tables.repeats.take(service_, now());
--- a/src/transport/gateway_connection.cpp
+++ b/src/transport/gateway_connection.cpp
@@ -131,10 +131,10 @@
         co_return false;
     }
     progress_mark const in_progress(context_.requests_in_progress);
-    writer_.keep_alive(parser.get().keep_alive() && !context_.stopping);
+    writer_.keep_alive(parser.get().keep_alive() && context_.phase == stop_phase::running);
     forwarder request(context_, home_, stream_, writer_, parser.release(), arrived);
     co_await request.run();
-    if (context_.stopping)
+    if (context_.phase != stop_phase::running)
         writer_.keep_alive(false);
     co_return true;
 }
--- a/src/transport/gateway_context.hpp
+++ b/src/transport/gateway_context.hpp
@@ -15,6 +15,14 @@
 namespace auburnweir::transport
 {
 
+/// How far the stop of a process is.
+enum class stop_phase : std::uint8_t
+{
+    running,
+    leaving,  ///< not ready, but requests are still taken
+    refusing, ///< requests that come now could not be finished in time
+};
+
 /// Ports to the platform, as the program wires them.
 struct platform_ports
 {
@@ -34,7 +42,7 @@
     timer_service& timers;
     shared_clock& clock;
     platform_ports ports;
-    std::atomic<bool>& stopping;
+    std::atomic<stop_phase>& phase;
     std::atomic<std::int64_t>& requests_in_progress;
 };
 
--- a/src/transport/gateway_server.cpp
+++ b/src/transport/gateway_server.cpp
@@ -56,7 +56,7 @@
                   timers,
                   clock,
                   {*ports.dialect, *ports.format, *ports.store, *ports.fleet},
-                  stopping,
+                  phase,
                   requests_in_progress}
         , links(
               settings.id, settings.peer_key,
@@ -88,7 +88,7 @@
     protocol::gateway_settings settings;
     std::function<state::findings()> settings_check;
     gateway_tables tables;
-    std::atomic<bool> stopping{false};
+    std::atomic<stop_phase> phase{stop_phase::running};
     std::atomic<std::int64_t> requests_in_progress{0};
     worker_pool workers;
     timer_service timers;
@@ -114,7 +114,7 @@
 
 bool gateway_server::parts::is_ready() const
 {
-    if (stopping || !watch.complete())
+    if (phase != stop_phase::running || !watch.complete())
         return false;
     auto const age = tables.routes.age(now());
     return age.count() <
@@ -127,7 +127,7 @@
     if (ready != was_ready)
         log(log_event::readiness_changed,
             {{"ready", ready ? "yes" : "no"},
-             {"stopping", stopping ? "yes" : "no"},
+             {"stopping", phase != stop_phase::running ? "yes" : "no"},
              {"configuration_age_ms", std::to_string(tables.routes.age(now()).count() / 1000)}});
     was_ready = ready;
     caller_reply reply;
@@ -177,7 +177,7 @@
                 reload();
                 return await_signal();
             }
-            if (!stopping.exchange(true))
+            if (phase.exchange(stop_phase::leaving) == stop_phase::running)
                 net::co_spawn(workers.at(0).io(), stop(), net::detached);
         });
 }
@@ -196,9 +196,11 @@
     auto& io = workers.at(0).io();
     auto const begun = now();
     auto const until = begun + settings.stop_grace - grace_margin;
-    while (now() < until && (now() - begun < readiness_lag || requests_in_progress > 0))
-        co_await sleep_for(io, activity_period);
+    co_await sleep_for(io, std::min(readiness_lag, settings.stop_grace - grace_margin));
+    phase = stop_phase::refusing;
     callers.close();
+    while (now() < until && requests_in_progress > 0)
+        co_await sleep_for(io, activity_period);
     workers.stop();
 }
 
@@ -281,6 +283,7 @@
     p->ready_port = p->readiness.listen(settings_.ready_listen);
     p->metrics_port = p->metrics.listen(settings_.metrics_listen);
     p->peer_port = p->links.listen(settings_.peer_listen);
+    p->settings.peer_listen.port = p->peer_port;
     if (p->caller_port == 0 || p->ready_port == 0 || p->metrics_port == 0 || p->peer_port == 0)
     {
         fault = "an address to listen on can't be had";
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -312,7 +312,7 @@
     co_await http::async_read_header(c.stream, c.buffer, s.parser, into(fault));
     if (fault)
         co_return lost_by(c.limit.end());
-    if (!policy.is_answer || policy.is_answer(s.parser.get().base()))
+    if (!policy.is_answer || policy.is_answer(s.parser.get().result_int(), s.parser.get().base()))
         co_return true;
     ++late_answers_;
     s.parser.eager(true);
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -94,7 +94,7 @@
     auburnweir::state::duration longest_idle = std::chrono::hours{1};
 
     /// Tells the call's answer from a late one to an earlier call; late ones are dropped.
-    std::function<bool(http_fields const&)> is_answer;
+    std::function<bool(int status, http_fields const&)> is_answer;
 
     std::shared_ptr<call_cancel> cancel;
 };
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -126,7 +126,7 @@
     report.failure_domain = context_.settings.failure_domain;
     report.peer_address = context_.settings.peer_listen;
     report.sequence = sequence_;
-    report.stopping = context_.stopping;
+    report.stopping = context_.phase != stop_phase::running;
     report.holds_duties = holds_duties_;
     report.consumed = context_.tables.quotas.consumed();
     if (!with_details)
--- a/tests/integration/http_client_test.cpp
+++ b/tests/integration/http_client_test.cpp
@@ -39,7 +39,7 @@
     static call_policy for_request(std::string id)
     {
         call_policy policy;
-        policy.is_answer = [id](transport::http_fields const& f) { return f["Id"] == id; };
+        policy.is_answer = [id](int, transport::http_fields const& f) { return f["Id"] == id; };
         return policy;
     }
 
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -256,15 +256,20 @@
     return sum;
 }
 
-double deployment::counter(int index, std::string const& name)
+double metric(std::string const& page, std::string const& name)
 {
-    auto const text = "\n" + call(entry_port(index), "GET", "/metrics").body;
+    auto const text = "\n" + page;
     auto const at = text.find("\n" + name + " ");
     if (at == std::string::npos)
         return 0;
     return std::stod(text.substr(at + name.size() + 2));
 }
 
+double deployment::counter(int index, std::string const& name)
+{
+    return metric(call(entry_port(index), "GET", "/metrics").body, name);
+}
+
 double deployment::counter_sum(std::string const& name)
 {
     double sum = 0;
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -107,6 +107,9 @@
 std::string chat_body(std::string const& content, int max_tokens, bool stream);
 std::string expected_answer(std::string const& content, int max_tokens);
 
+/// One figure of a metrics page, by its whole name with labels; 0 when it is absent.
+double metric(std::string const& page, std::string const& name);
+
 /// Path of a program of this build.
 std::string program(std::string const& name);
 
--- /dev/null
+++ b/tests/support/gateway_deployment.cpp
@@ -0,0 +1,184 @@
+#include "support/gateway_deployment.hpp"
+
+#include "support/deployment.hpp"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+namespace auburnweir::tests
+{
+
+namespace
+{
+
+json route(std::string const& name, std::string const& kind, int attempts)
+{
+    return {{"name", name},       {"host", "calls.test"}, {"prefix", "/" + name + "/"},
+            {"routeType", kind},  {"timeoutMs", 4000},    {"sloMs", 500},
+            {"priority", 1},      {"service", "desk"},    {"maxAttempts", attempts},
+            {"anonymous", false}, {"sticky", false},      {"resumable", name == "stream"},
+            {"itlTargetMs", 400}};
+}
+
+std::string backend_name(int index)
+{
+    return "backend-" + std::to_string(index + 1);
+}
+
+} // namespace
+
+gateway_deployment::gateway_deployment(gateway_plan plan)
+    : plan_(std::move(plan))
+{
+    auto name = (std::filesystem::temp_directory_path() / "auburnweir-XXXXXX").string();
+    folder_ = mkdtemp(name.data());
+    store_ = std::make_unique<process>(std::vector{program("standin-metadata-store")});
+    for (int i = 0; i < plan_.backends; ++i)
+    {
+        backends_.push_back(std::make_unique<process>(
+            std::vector{program("standin-routed-backend"), backend_name(i)}));
+        list_backend(i);
+    }
+    configure();
+    for (int i = 0; i < plan_.gateways; ++i)
+        start_gateway(i);
+    wait_until_ready();
+}
+
+gateway_deployment::~gateway_deployment()
+{
+    gateways_.clear();
+    std::filesystem::remove_all(folder_);
+}
+
+std::string gateway_deployment::domain(int index) const
+{
+    return "domain-" + std::to_string(index % plan_.domains + 1);
+}
+
+void gateway_deployment::start_gateway(int index)
+{
+    auto const store = "127.0.0.1:" + std::to_string(store_->port());
+    std::map<std::string, std::string> settings{
+        {"id", "gateway-" + std::to_string(index + 1)},
+        {"failure_domain", domain(index)},
+        {"peer_key", "a-key-that-only-tests-use"},
+        {"store", store},
+        {"fleet", store},
+        {"log_level", "warning"}};
+    for (auto const& [key, value] : plan_.settings)
+        settings[key] = value;
+    auto const path = folder_ + "/gateway-" + std::to_string(index) + ".ini";
+    std::ofstream text(path);
+    text << "[gateway]\n";
+    for (auto const& [key, value] : settings)
+        text << key << " = " << value << "\n";
+    text.close();
+    auto started = std::make_unique<process>(std::vector{
+        program("auburnweir-gateway"), std::string{"--settings"}, path, std::string{"--seed"},
+        std::to_string(index + 1)});
+    if (static_cast<std::size_t>(index) < gateways_.size())
+        gateways_[index] = std::move(started);
+    else
+        gateways_.push_back(std::move(started));
+}
+
+bool gateway_deployment::ready(int index)
+{
+    return call(gateway(index).port("ready"), "GET", "/readyz").status == 200;
+}
+
+void gateway_deployment::wait_until_ready()
+{
+    for (int i = 0; i < static_cast<int>(gateways_.size()); ++i)
+        eventually([&] { return ready(i); });
+}
+
+seen_reply gateway_deployment::send(
+    std::string const& path, std::string const& id, header_list headers, int gateway)
+{
+    headers.emplace_back("Host", "calls.test");
+    headers.emplace_back("Auburnweir-Attempt-Id", id);
+    if (std::none_of(
+            headers.begin(), headers.end(),
+            [](auto const& h) { return h.first == "Auburnweir-Deadline-Ms"; }))
+        headers.emplace_back("Auburnweir-Deadline-Ms", "3000");
+    return call(port(gateway), "POST", path, std::move(headers), "order");
+}
+
+void gateway_deployment::control(process& standin, json const& body)
+{
+    call(standin.port(), "POST", "/control", {}, body.dump());
+}
+
+std::int64_t gateway_deployment::runs(std::string const& id)
+{
+    std::int64_t sum = 0;
+    for (auto& b : backends_)
+        if (b->pid() > 0)
+            sum += call(b->port(), "GET", "/runs").parsed()["runs"].value(id, 0);
+    return sum;
+}
+
+json gateway_deployment::last_request(int index)
+{
+    return call(backend(index).port(), "GET", "/runs").parsed()["last"];
+}
+
+void gateway_deployment::configure(std::function<void(json&)> const& change)
+{
+    auto flow = route("flow/stream", "streaming", 1);
+    json config{
+        {"version", ++version_},
+        {"routes", json::array(
+                       {route("safe", "safe", 2), route("once", "unsafe", 1),
+                        route("stream", "streaming", 2), flow})},
+        {"services",
+         json::array({{{"name", "desk"}, {"healthPath", "/healthz"}, {"maxConns", 100}}})},
+        {"limits",
+         {{"maxHeaderBytes", 4096},
+          {"maxBodyBytes", 65536},
+          {"headerTimeoutMs", 1000},
+          {"idleTimeoutMs", 5000}}}};
+    if (!plan_.organisations.empty())
+        config["tenants"] = plan_.organisations;
+    if (change)
+        change(config);
+    json const row{{"table", "op"}, {"key", "config"}, {"value", config.dump()}};
+    control(*store_, {{"put", json::array({row})}});
+}
+
+void gateway_deployment::list_backend(int index, std::string const& condition)
+{
+    json const entry{
+        {"service", "desk"},
+        {"address", "127.0.0.1:" + std::to_string(backend(index).port())},
+        {"zone", domain(index)},
+        {"version", "v1"},
+        {"slots", 8},
+        {"state", condition},
+        {"coldRemainingMs", 0},
+        {"sequence", 1},
+        {"born", 1000}};
+    json const row{{"table", "servers"}, {"key", backend_name(index)}, {"value", entry.dump()}};
+    control(*store_, {{"put", json::array({row})}});
+}
+
+void gateway_deployment::unlist_backend(int index)
+{
+    json const row{{"table", "servers"}, {"key", backend_name(index)}};
+    control(*store_, {{"remove", json::array({row})}});
+}
+
+json gateway_deployment::duties()
+{
+    return call(store_->port(), "GET", "/duties").parsed();
+}
+
+double gateway_deployment::counter(int index, std::string const& name)
+{
+    return metric(call(gateway(index).port("metrics"), "GET", "/metrics").body, name);
+}
+
+} // namespace auburnweir::tests
