Order reclaimable engines in place of on-demand ones

Change: the holder of the duties orders reclaimable engines in all failure domains and keeps on-demand ones for what a reclaim leaves short.

--- a/src/coordination/duty_lease.hpp
+++ b/src/coordination/duty_lease.hpp
@@ -2,6 +2,7 @@
 #define AUBURNWEIR_COORDINATION_DUTY_LEASE_HPP
 
 #include "coordination/order_lease.hpp"
+#include "state/fleet.hpp"
 #include "state/usage_table.hpp"
 
 #include <map>
@@ -20,16 +21,6 @@
     friend bool operator==(pending_usage const&, pending_usage const&) = default;
 };
 
-/// A number of engines that was ordered.
-struct ordered_engines
-{
-    state::service_id service;
-    state::failure_domain_id failure_domain;
-    bool reclaimable = false;
-
-    friend auto operator<=>(ordered_engines const&, ordered_engines const&) = default;
-};
-
 /// Row of the lease on the duties, with what a successor needs to go on.
 struct duty_record
 {
@@ -37,6 +28,7 @@
     state::window_number reported_through; ///< all windows up to it are reported
     std::optional<pending_usage> pending;
     state::usage_by_writer usage; ///< counts of the windows that are not reported yet
+    state::fleet_counts base;     ///< engines that the operators began with
 
     friend bool operator==(duty_record const&, duty_record const&) = default;
 };
--- a/src/protocol/duty_record_codec.cpp
+++ b/src/protocol/duty_record_codec.cpp
@@ -56,6 +56,29 @@
     return usage;
 }
 
+json encode_fleet(state::fleet_counts const& counts)
+{
+    auto out = json::array();
+    for (auto const& [group, count] : counts)
+        out.push_back({group.service.str(), group.failure_domain.str(), group.reclaimable, count});
+    return out;
+}
+
+state::fleet_counts read_fleet(json const& from)
+{
+    state::fleet_counts counts;
+    for (auto const& e : from)
+    {
+        element_reader in(e);
+        state::fleet_group group;
+        group.service = state::service_id{in.text()};
+        group.failure_domain = state::failure_domain_id{in.text()};
+        group.reclaimable = in.flag();
+        counts[group] = in.integer();
+    }
+    return counts;
+}
+
 coordination::duty_record read_record(json const& from)
 {
     element_reader in(from);
@@ -65,6 +88,7 @@
     record.lease.until = state::wall_time{std::chrono::milliseconds{in.integer()}};
     record.reported_through = state::window_number{in.integer()};
     record.usage = read_usage(in.array());
+    record.base = read_fleet(in.array());
     if (in.at_end())
         return record;
     auto& pending = record.pending.emplace();
@@ -86,7 +110,7 @@
     auto out = json::array(
         {record.lease.holder.str(), record.lease.fencing.count(),
          record.lease.until.time_since_epoch().count(), record.reported_through.count(),
-         encode_usage(record.usage)});
+         encode_usage(record.usage), encode_fleet(record.base)});
     if (record.pending)
     {
         out.push_back(record.pending->window.count());
--- a/src/transport/duty_runner.cpp
+++ b/src/transport/duty_runner.cpp
@@ -1,5 +1,6 @@
 #include "transport/duty_runner.hpp"
 
+#include "coordination/fleet_planner.hpp"
 #include "protocol/duty_record_codec.hpp"
 #include "transport/async_signal.hpp"
 #include "transport/log.hpp"
@@ -27,6 +28,18 @@
 
 constexpr std::size_t most_ranks = 12;
 
+/// Time in which engines that run at the start have listed themselves.
+constexpr state::duration listing_time = std::chrono::seconds{5};
+
+/// How often the fleet is planned.
+constexpr state::duration plan_period = std::chrono::milliseconds{500};
+
+/// Pause before an order that could not be filled is placed again.
+constexpr state::duration reorder_pause = std::chrono::milliseconds{1500};
+
+/// Time beyond an engine's start after which missing engines are ordered again.
+constexpr state::duration start_margin = std::chrono::seconds{3};
+
 constexpr char const* duty_table_name = "auburnweir-duties";
 constexpr char const* duty_key = "lease";
 
@@ -66,6 +79,7 @@
             {{"fencing", std::to_string(held_->record.lease.fencing.count())},
              {"why", std::string{why}}});
     held_.reset();
+    placed_.clear();
     peers_.holds_duties(false);
     without_holder_since_ = now();
 }
@@ -79,7 +93,8 @@
 net::awaitable<void> duty_runner::run()
 {
     auto& io = context_.workers.at(0).io();
-    without_holder_since_ = now();
+    started_at_ = now();
+    without_holder_since_ = started_at_;
     while (context_.phase == stop_phase::running)
     {
         co_await sleep_for(io, step);
@@ -186,11 +201,88 @@
     }
     bool const renew = now() - renewed_at_ >= lease_.length / renewals_per_length;
     if (!due && !renew)
+    {
+        co_await order_fleet();
         co_return;
+    }
+    begin_fleet(record);
     record.lease = *wanted;
     co_await save(std::move(record));
 }
 
+void duty_runner::begin_fleet(coordination::duty_record& record) const
+{
+    auto const routes = context_.tables.routes.current();
+    if (!routes || now() - started_at_ < listing_time)
+        return;
+    for (auto const& service : routes->services())
+    {
+        if (!service.fleet)
+            continue;
+        bool const begun = std::any_of(
+            record.base.begin(), record.base.end(),
+            [&](auto const& entry) { return entry.first.service == service.id; });
+        if (begun)
+            continue;
+        for (auto const& [group, count] :
+             coordination::ready_engines(context_.tables.servers.all(service.id)))
+            if (!group.reclaimable)
+                record.base[group] = count;
+    }
+}
+
+net::awaitable<void> duty_runner::order_fleet()
+{
+    auto const routes = context_.tables.routes.current();
+    if (!routes || now() - planned_at_ < plan_period)
+        co_return;
+    planned_at_ = now();
+    for (auto const& service : routes->services())
+    {
+        if (!service.fleet)
+            continue;
+        auto const ready = coordination::ready_engines(context_.tables.servers.all(service.id));
+        auto const plan = coordination::plan_fleet(service, held_->record.base, ready);
+        for (auto const& [group, count] : plan)
+        {
+            auto const placed = placed_.find(group);
+            auto const have = ready.find(group);
+            auto const missing = count - (have == ready.end() ? 0 : have->second);
+            bool const same = placed != placed_.end() && placed->second.count == count;
+            auto const wait = same && placed->second.accepted
+                                  ? service.fleet->start_time + start_margin
+                                  : reorder_pause;
+            bool const settled = same && placed->second.accepted && missing <= 0;
+            bool const too_soon = same && now() - placed->second.at < wait;
+            if (settled || too_soon)
+                continue;
+            if (!may_act())
+                co_return;
+            co_await order(group, count);
+            if (!held_)
+                co_return;
+        }
+    }
+}
+
+net::awaitable<void> duty_runner::order(state::fleet_group group, std::int64_t count)
+{
+    auto const lease = held_->record.lease;
+    auto const result = co_await context_.ports.fleet.order(lease, group, count, call_limit);
+    bool const accepted = result == duty_result::accepted;
+    placed_order const placed{count, now(), accepted};
+    placed_[group] = placed;
+    context_.tables.counters.increment(state::event_counter::fleet_orders_sent);
+    log(accepted ? log_event::fleet_ordered : log_event::duty_call_failed,
+        {{"call", "order"},
+         {"service", group.service.str()},
+         {"failure_domain", group.failure_domain.str()},
+         {"reclaimable", group.reclaimable ? "yes" : "no"},
+         {"count", std::to_string(count)},
+         {"result", std::string{name_of(result)}},
+         {"fencing", std::to_string(lease.fencing.count())}});
+}
+
 coordination::usage_progress duty_runner::progress() const
 {
     coordination::usage_progress p;
--- a/src/transport/duty_runner.hpp
+++ b/src/transport/duty_runner.hpp
@@ -24,11 +24,22 @@
         state::row_version version;
     };
 
+    /// The last order of a group that this instance placed.
+    struct placed_order
+    {
+        std::int64_t count = 0;
+        state::time_point at{};
+        bool accepted = false;
+    };
+
     net::awaitable<void> run();
     net::awaitable<void> try_to_take();
     net::awaitable<void> hold();
     net::awaitable<bool> save(coordination::duty_record record);
     net::awaitable<void> report_usage();
+    net::awaitable<void> order_fleet();
+    net::awaitable<void> order(state::fleet_group group, std::int64_t count);
+    void begin_fleet(coordination::duty_record& record) const;
     coordination::usage_progress progress() const;
     bool may_act() const;
     bool is_holder() const { return held_.has_value(); }
@@ -40,7 +51,10 @@
     peer_exchange& peers_;
     coordination::lease_settings lease_;
     std::optional<held_row> held_;
+    state::time_point started_at_{};
     state::time_point renewed_at_{};
+    std::map<state::fleet_group, placed_order> placed_;
+    state::time_point planned_at_{};
     state::time_point without_holder_since_{};
 };
 
--- a/src/transport/fleet_api.hpp
+++ b/src/transport/fleet_api.hpp
@@ -1,6 +1,7 @@
 #ifndef AUBURNWEIR_TRANSPORT_FLEET_API_HPP
 #define AUBURNWEIR_TRANSPORT_FLEET_API_HPP
 
+#include "state/fleet.hpp"
 #include "state/instance_report.hpp"
 #include "state/lease_record.hpp"
 #include "transport/asio.hpp"
@@ -8,17 +9,6 @@
 namespace auburnweir::transport
 {
 
-/// A number of one kind of a service's engines in one failure domain.
-struct fleet_order
-{
-    state::service_id service;
-    state::failure_domain_id failure_domain;
-    bool reclaimable = false;
-    std::int64_t count = 0;
-
-    friend auto operator<=>(fleet_order const&, fleet_order const&) = default;
-};
-
 enum class duty_result : std::uint8_t
 {
     accepted,
@@ -27,6 +17,8 @@
     unknown      ///< no answer: it may have been done
 };
 
+std::string_view name_of(duty_result result);
+
 /// Port: the platform's calls that one instance at a time may make.
 class fleet_api
 {
@@ -38,7 +30,8 @@
         state::duration limit) = 0;
 
     virtual net::awaitable<duty_result> order(
-        state::lease_record lease, fleet_order what, state::duration limit) = 0;
+        state::lease_record lease, state::fleet_group group, std::int64_t count,
+        state::duration limit) = 0;
 };
 
 } // namespace auburnweir::transport
