--- /dev/null
+++ b/src/protocol/gateway_status.cpp
@@ -0,0 +1,91 @@
+#include "protocol/gateway_status.hpp"
+
+#include "protocol/json.hpp"
+
+namespace auburnweir::protocol
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+std::int64_t milliseconds(state::duration d)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
+std::string text_of(state::endpoint const& address)
+{
+    return address.host + ":" + std::to_string(address.port);
+}
+
+json encode_configuration(gateway_status const& status)
+{
+    if (!status.routes)
+        return nullptr;
+    auto services = json::array();
+    for (auto const& service : status.routes->services())
+        services.push_back(service.id.str());
+    return {
+        {"version", status.routes->version().count()},
+        {"age_ms", milliseconds(status.routes_age)},
+        {"routes", status.routes->routes()},
+        {"organisations", status.routes->organisations().size()},
+        {"services", std::move(services)}};
+}
+
+json encode_instance(state::known_instance const& instance, state::time_point now)
+{
+    json out{
+        {"id", instance.id.str()},
+        {"address", text_of(instance.peer_address)},
+        {"failure_domain", instance.report.failure_domain.str()},
+        {"stopping", instance.report.stopping},
+        {"holds_duties", instance.report.holds_duties},
+        {"heard_ms_ago", nullptr}};
+    if (instance.heard_at)
+        out["heard_ms_ago"] = milliseconds(now - *instance.heard_at);
+    return out;
+}
+
+json encode_server(state::server_view const& server, state::time_point now)
+{
+    auto const& listed = server.listed;
+    bool const ejected = server.ejected_until && *server.ejected_until > now;
+    return {
+        {"id", listed.id.str()},
+        {"service", listed.service.str()},
+        {"failure_domain", listed.failure_domain.str()},
+        {"address", text_of(listed.address)},
+        {"version", listed.version.str()},
+        {"slots", listed.slots},
+        {"reclaimable", listed.reclaimable},
+        {"leaving", listed.draining},
+        {"ejected", ejected},
+        {"in_progress", server.sent},
+        {"failure_share", server.failure_share}};
+}
+
+} // namespace
+
+std::string encode_status(gateway_status const& status)
+{
+    json out{
+        {"id", status.id.str()},
+        {"life", status.life.count()},
+        {"failure_domain", status.failure_domain.str()},
+        {"ready", status.ready},
+        {"stopping", status.stopping},
+        {"holds_duties", status.holds_duties},
+        {"configuration", encode_configuration(status)},
+        {"instances", json::array()},
+        {"backends", json::array()}};
+    for (auto const& instance : status.instances)
+        out["instances"].push_back(encode_instance(instance, status.now));
+    for (auto const& server : status.servers)
+        out["backends"].push_back(encode_server(server, status.now));
+    return dump(out);
+}
+
+} // namespace auburnweir::protocol
--- /dev/null
+++ b/src/protocol/gateway_status.hpp
@@ -0,0 +1,35 @@
+#ifndef AUBURNWEIR_PROTOCOL_GATEWAY_STATUS_HPP
+#define AUBURNWEIR_PROTOCOL_GATEWAY_STATUS_HPP
+
+#include "state/instance_report_table.hpp"
+#include "state/route_set.hpp"
+#include "state/server_table.hpp"
+
+#include <string>
+#include <vector>
+
+namespace auburnweir::protocol
+{
+
+/// What a gateway knows, for operators.
+struct gateway_status
+{
+    state::instance_id id;
+    state::incarnation life;
+    state::failure_domain_id failure_domain;
+    bool ready = false;
+    bool stopping = false;
+    bool holds_duties = false;
+    state::route_set_ptr routes; ///< null before the first
+    state::duration routes_age{0};
+    std::vector<state::known_instance> instances; ///< the others
+    std::vector<state::server_view> servers;
+    state::time_point now{};
+};
+
+/// One JSON object; docs/OPERATIONS.md names its members and their units.
+std::string encode_status(gateway_status const& status);
+
+} // namespace auburnweir::protocol
+
+#endif
--- a/src/transport/gateway_server.cpp
+++ b/src/transport/gateway_server.cpp
@@ -1,5 +1,6 @@
 #include "transport/gateway_server.hpp"
 
+#include "protocol/gateway_status.hpp"
 #include "protocol/metrics_text.hpp"
 #include "transport/async_signal.hpp"
 #include "transport/duty_runner.hpp"
@@ -71,8 +72,10 @@
               {
                   std::make_shared<gateway_connection>(context, home, std::move(socket))->start();
               })
-        , readiness(workers, settings.ready_path, [this] { return readiness_answer(); })
-        , metrics(workers, "/metrics", [this] { return metrics_answer(); })
+        , readiness(workers, {{settings.ready_path, [this] { return readiness_answer(); }}})
+        , metrics(
+              workers, {{"/metrics", [this] { return metrics_answer(); }},
+                        {"/status", [this] { return status_answer(); }}})
         , signals(workers.at(0).io(), SIGTERM, SIGINT, SIGHUP)
     {
     }
@@ -80,6 +83,7 @@
     bool is_ready() const;
     caller_reply readiness_answer();
     caller_reply metrics_answer() const;
+    caller_reply status_answer() const;
     void await_signal();
     void reload();
     net::awaitable<void> stop();
@@ -156,6 +160,25 @@
     return reply;
 }
 
+caller_reply gateway_server::parts::status_answer() const
+{
+    protocol::gateway_status status;
+    status.id = settings.id;
+    status.life = context.life;
+    status.failure_domain = settings.failure_domain;
+    status.ready = is_ready();
+    status.stopping = phase != stop_phase::running;
+    status.holds_duties = peers.holds_duties();
+    status.routes = tables.routes.current();
+    status.now = now();
+    status.routes_age = tables.routes.age(status.now);
+    status.instances = tables.reports.all();
+    status.servers = tables.servers.snapshot();
+    caller_reply reply;
+    reply.body = protocol::encode_status(status);
+    return reply;
+}
+
 void gateway_server::parts::flush()
 {
     auto const dropped = log_lines_dropped();
--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -23,6 +23,7 @@
 
     /// Whether this instance says that it holds the duties.
     void holds_duties(bool holds) { holds_duties_ = holds; }
+    bool holds_duties() const { return holds_duties_; }
 
     /// Whether a live instance, this one not included, says that it holds the duties.
     bool others_hold_duties() const;
--- a/src/transport/status_server.cpp
+++ b/src/transport/status_server.cpp
@@ -16,19 +16,20 @@
 
 } // namespace
 
-status_server::status_server(worker_pool& workers, std::string path, answer on_request)
+status_server::status_server(worker_pool& workers, answers by_path)
     : listener_(
           workers,
-          [path = std::move(path), on_request](worker& home, tcp::socket socket)
+          [shared = std::make_shared<answers const>(std::move(by_path))](
+              worker& home, tcp::socket socket)
           {
               auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
-              net::co_spawn(home.io(), serve(std::move(stream), path, on_request), net::detached);
+              net::co_spawn(home.io(), serve(std::move(stream), shared), net::detached);
           })
 {
 }
 
 net::awaitable<void> status_server::serve(
-    std::shared_ptr<beast::tcp_stream> stream, std::string path, answer on_request)
+    std::shared_ptr<beast::tcp_stream> stream, std::shared_ptr<answers const> by_path)
 {
     beast::flat_buffer buffer;
     reply_writer writer(*stream, write_limit);
@@ -45,8 +46,9 @@
         writer.keep_alive(request.keep_alive());
         caller_reply reply;
         auto const target = request.target();
-        if (std::string_view{target.data(), target.size()} == path)
-            reply = on_request();
+        auto const known = by_path->find(std::string{target.data(), target.size()});
+        if (known != by_path->end())
+            reply = known->second();
         else
             reply.status = 404;
         if (!co_await writer.send(std::move(reply)) || !writer.keeps_alive())
--- a/src/transport/status_server.hpp
+++ b/src/transport/status_server.hpp
@@ -5,17 +5,20 @@
 #include "transport/reply_writer.hpp"
 
 #include <functional>
+#include <map>
 
 namespace auburnweir::transport
 {
 
-/// Small HTTP server for one path: readiness probes or metrics.
+/// Small HTTP server for a few paths: readiness probes, metrics, status.
 class status_server
 {
 public:
     using answer = std::function<caller_reply()>;
+    using answers = std::map<std::string, answer>;
 
-    status_server(worker_pool& workers, std::string path, answer on_request);
+    /// @param by_path  what is answered on each path; others are not found
+    status_server(worker_pool& workers, answers by_path);
 
     /// @return the port, or 0 when the address can't be had
     std::uint16_t listen(state::endpoint const& address) { return listener_.listen(address); }
@@ -24,7 +27,7 @@
 
 private:
     static net::awaitable<void> serve(
-        std::shared_ptr<beast::tcp_stream> stream, std::string path, answer on_request);
+        std::shared_ptr<beast::tcp_stream> stream, std::shared_ptr<answers const> by_path);
 
     caller_listener listener_;
 };
--- /dev/null
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -0,0 +1,218 @@
+#include "coordination/duty_lease.hpp"
+#include "coordination/ejection_policy.hpp"
+#include "coordination/fleet_planner.hpp"
+#include "coordination/server_choice.hpp"
+#include "coordination/true_time.hpp"
+
+#include <gtest/gtest.h>
+
+namespace auburnweir::coordination
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+using state::backend_id;
+using state::failure_domain_id;
+using state::server_view;
+
+class gateway_decisions_test : public testing::Test
+{
+protected:
+    static server_view server(std::string const& id, std::string const& domain, std::int64_t sent)
+    {
+        server_view v;
+        v.listed.id = backend_id{id};
+        v.listed.service = state::service_id{"chat"};
+        v.listed.failure_domain = failure_domain_id{domain};
+        v.listed.slots = 10;
+        v.sent = sent;
+        return v;
+    }
+
+    std::string chosen(
+        choice_policy const& policy, std::vector<server_view> const& servers,
+        std::string const& affinity = {}, std::set<backend_id> const& tried = {})
+    {
+        choice_request request;
+        request.home = failure_domain_id{"near"};
+        request.affinity = affinity;
+        request.tried = tried;
+        auto const got = choose_server(policy, servers, request, now, random);
+        return got ? got->listed.id.str() : "none";
+    }
+
+    state::time_point now{1h};
+    std::mt19937_64 random{7};
+};
+
+TEST_F(gateway_decisions_test, choose_among_equal_servers_prefers_the_own_domain)
+{
+    std::vector const servers{server("far", "far", 0), server("near", "near", 0)};
+    EXPECT_EQ(chosen(nearest_least_loaded{}, servers), "near");
+}
+
+TEST_F(gateway_decisions_test, choose_when_the_near_server_is_much_fuller_takes_a_far_one)
+{
+    std::vector const servers{server("far", "far", 0), server("near", "near", 9)};
+    EXPECT_EQ(chosen(nearest_least_loaded{}, servers), "far");
+}
+
+TEST_F(gateway_decisions_test, choose_when_all_were_tried_finds_none)
+{
+    std::vector const servers{server("a", "near", 0)};
+    EXPECT_EQ(chosen(nearest_least_loaded{}, servers, "", {backend_id{"a"}}), "none");
+}
+
+TEST_F(gateway_decisions_test, choose_by_affinity_is_the_same_whatever_the_order)
+{
+    std::vector const one{server("a", "near", 1), server("b", "near", 2), server("c", "near", 0)};
+    std::vector const two{one[2], one[0], one[1]};
+    EXPECT_EQ(
+        chosen(affinity_with_bounded_load{}, one, "p1"),
+        chosen(affinity_with_bounded_load{}, two, "p1"));
+}
+
+TEST_F(gateway_decisions_test, choose_by_affinity_when_the_preferred_server_is_full_takes_another)
+{
+    std::vector servers{server("a", "near", 0), server("b", "near", 0)};
+    auto const preferred = chosen(affinity_with_bounded_load{}, servers, "p1");
+    for (auto& s : servers)
+        if (s.listed.id.str() == preferred)
+            s.sent = 10;
+    EXPECT_NE(chosen(affinity_with_bounded_load{}, servers, "p1"), preferred);
+}
+
+TEST_F(gateway_decisions_test, ejection_of_a_server_that_fails_much_more_than_others_begins)
+{
+    auto bad = server("a", "near", 0);
+    bad.failure_share = 0.6;
+    std::vector const all{bad, server("b", "near", 0), server("c", "near", 0)};
+    EXPECT_TRUE(ejection_end(bad, all, now));
+}
+
+TEST_F(gateway_decisions_test, ejection_when_all_servers_fail_alike_does_not_begin)
+{
+    std::vector<server_view> all;
+    for (auto const* id : {"a", "b", "c"})
+    {
+        all.push_back(server(id, "near", 0));
+        all.back().failure_share = 0.6;
+    }
+    EXPECT_FALSE(ejection_end(all[0], all, now));
+}
+
+TEST_F(gateway_decisions_test, ejection_of_more_than_half_of_a_service_does_not_begin)
+{
+    std::vector<server_view> all;
+    for (auto const* id : {"a", "b", "c"})
+    {
+        all.push_back(server(id, "near", 0));
+        all.back().failures_in_row = 5;
+        all.back().ejected_until = now + 1s;
+    }
+    all[0].ejected_until.reset();
+    EXPECT_FALSE(ejection_end(all[0], all, now));
+}
+
+TEST_F(gateway_decisions_test, agreed_offset_ignores_a_minority_of_jumped_clocks)
+{
+    EXPECT_EQ(agreed_offset({1000ms, 1002ms, 5000ms, 998ms, -4000ms}), 1000ms);
+    EXPECT_EQ(agreed_offset({}), std::nullopt);
+}
+
+TEST_F(gateway_decisions_test, store_clock_between_answers_stays_within_its_bounds)
+{
+    store_clock clock;
+    clock.observe(5000ms, now, now + 20ms);
+    EXPECT_EQ(clock.earliest(now + 120ms), 5100ms);
+    EXPECT_EQ(clock.latest(now + 120ms), 5120ms);
+}
+
+TEST_F(gateway_decisions_test, usage_of_a_window_that_all_have_counted_is_due)
+{
+    usage_progress p{state::window_number{7}, state::window_number{9}, 1s, true};
+    EXPECT_TRUE(usage_is_due(p));
+    p.all_counted = false;
+    EXPECT_FALSE(usage_is_due(p));
+    p.since_end = 6s;
+    EXPECT_TRUE(usage_is_due(p));
+}
+
+TEST_F(gateway_decisions_test, usage_of_the_window_that_runs_is_not_due)
+{
+    usage_progress const p{state::window_number{7}, state::window_number{8}, 6s, true};
+    EXPECT_FALSE(usage_is_due(p));
+}
+
+class fleet_planner_test : public testing::Test
+{
+protected:
+    fleet_planner_test()
+    {
+        service.id = state::service_id{"chat"};
+        auto& bounds = service.fleet.emplace();
+        bounds.least = 1;
+        bounds.most = 6;
+        for (auto const* domain : {"a", "b", "c"})
+        {
+            bounds.domain_prices[failure_domain_id{domain}] = 1;
+            base[group(domain, false)] = 3;
+        }
+        settings.reclaimable_factor = 1.5;
+        settings.needed_share = 0.6;
+    }
+
+    state::fleet_group group(std::string const& domain, bool reclaimable) const
+    {
+        return {service.id, failure_domain_id{domain}, reclaimable};
+    }
+
+    std::int64_t planned(state::fleet_counts const& ready, std::string const& domain, bool spot)
+    {
+        return plan_fleet(service, base, ready, settings)[group(domain, spot)];
+    }
+
+    std::int64_t on_demand(state::fleet_counts const& ready)
+    {
+        return planned(ready, "a", false) + planned(ready, "b", false) + planned(ready, "c", false);
+    }
+
+    state::routed_service service;
+    state::fleet_counts base;
+    fleet_settings settings;
+};
+
+TEST_F(fleet_planner_test, plan_at_the_start_orders_reclaimable_engines_and_keeps_the_others)
+{
+    auto const ready = base;
+    EXPECT_EQ(planned(ready, "a", true), 5);
+    EXPECT_EQ(on_demand(ready), 6); // what is needed; the rest may go
+}
+
+TEST_F(fleet_planner_test, plan_when_reclaimable_engines_are_ready_drops_on_demand_ones)
+{
+    auto ready = base;
+    for (auto const* domain : {"a", "b", "c"})
+        ready[group(domain, true)] = 5;
+    EXPECT_EQ(on_demand(ready), 0);
+}
+
+TEST_F(fleet_planner_test, plan_after_reclaims_that_leave_too_few_fills_up_on_demand)
+{
+    state::fleet_counts ready;
+    ready[group("c", true)] = 5;
+    EXPECT_EQ(on_demand(ready), 1);
+    EXPECT_EQ(planned(ready, "c", false), 0);
+}
+
+TEST_F(fleet_planner_test, plan_stays_within_the_bounds_of_both_kinds_together)
+{
+    settings.needed_share = 3;
+    state::fleet_counts const ready;
+    for (auto const* domain : {"a", "b", "c"})
+        EXPECT_LE(planned(ready, domain, false), 6);
+}
+
+} // namespace
+} // namespace auburnweir::coordination
--- a/tests/unit/text_test.cpp
+++ b/tests/unit/text_test.cpp
@@ -1,6 +1,7 @@
 #include "protocol/call_head.hpp"
 #include "protocol/chat_codec.hpp"
 #include "protocol/entry_settings.hpp"
+#include "protocol/gateway_settings.hpp"
 #include "protocol/ini_document.hpp"
 #include "protocol/peer_handshake.hpp"
 #include "protocol/problem.hpp"
@@ -142,6 +143,7 @@
     auto const text = page("OPERATIONS.md");
     EXPECT_NE(text.find(entry_settings_reference()), std::string::npos);
     EXPECT_NE(text.find(service_text_reference()), std::string::npos);
+    EXPECT_NE(text.find(gateway_settings_reference()), std::string::npos);
 }
 
 TEST(documentation_test, events_page_holds_the_catalogue)
