Report to the holder of the duties in place of every other gateway

Cause: reports among all gateways grow with the square of their number; at 80 that is 6,320 links. Change: each gateway reports to the holder, which answers with what the others granted, how many it sees and the agreed time. Without a holder a gateway keeps to its part of the limits.

--- a/src/coordination/duty_lease.hpp
+++ b/src/coordination/duty_lease.hpp
@@ -25,6 +25,7 @@
 struct duty_record
 {
     state::lease_record lease;
+    state::endpoint holder_address;        ///< for the other instances' reports
     state::window_number reported_through; ///< all windows up to it are reported
     std::optional<pending_usage> pending;
     state::usage_by_writer usage; ///< counts of the windows that are not reported yet
--- a/src/programs/ctl.cpp
+++ b/src/programs/ctl.cpp
@@ -22,12 +22,13 @@
 using programs::exit_usage;
 
 constexpr state::duration call_limit = std::chrono::seconds{3};
-constexpr char const* usage = "[-j] COMMAND [ARGUMENT]\n\n"
-                              "  check FILE        checks settings or a service text\n"
-                              "  show              configuration in force and readiness\n"
-                              "  status SERVICE    backend servers of a service\n"
-                              "  nodes             instances that the gateway knows\n"
-                              "  counters          all counters";
+constexpr char const* usage =
+    "[-j] COMMAND [ARGUMENT]\n\n"
+    "  check FILE        checks settings or a service text\n"
+    "  show              configuration in force and readiness\n"
+    "  status SERVICE    backend servers of a service\n"
+    "  nodes             instances that report to the holder of the duties\n"
+    "  counters          all counters";
 
 struct arguments
 {
@@ -129,7 +130,8 @@
          {"failure domain", text_of(status, "failure_domain")},
          {"ready", text_of(status, "ready")},
          {"stopping", text_of(status, "stopping")},
-         {"holds duties", text_of(status, "holds_duties")}});
+         {"holds duties", text_of(status, "holds_duties")},
+         {"duties held by", text_of(status, "duties_held_by")}});
     auto const& configuration = status["configuration"];
     if (!configuration.is_object())
         return;
@@ -197,7 +199,7 @@
     else if (words[0] == "nodes")
         print_list(
             protocol::array_at(*status, "instances"),
-            {"id", "failure_domain", "address", "heard_ms_ago", "stopping", "holds_duties"});
+            {"id", "failure_domain", "address", "heard_ms_ago", "stopping"});
     else
         show(*status);
     return exit_ok;
--- a/src/protocol/duty_record_codec.cpp
+++ b/src/protocol/duty_record_codec.cpp
@@ -31,27 +31,53 @@
     return counts;
 }
 
+/// Names are written once and then by their place in the list: the row's size is limited.
 json encode_usage(state::usage_by_writer const& usage)
 {
-    auto out = json::array();
+    auto names = json::array();
+    std::map<state::organisation_id, std::size_t> places;
+    auto rows = json::array();
     for (auto const& [window, writers] : usage)
         for (auto const& [writer, counts] : writers)
-            out.push_back(
-                {window.count(), writer.id.str(), writer.life.count(), encode_counts(counts)});
-    return out;
+        {
+            json row{window.count(), writer.id.str(), writer.life.count()};
+            for (auto const& [organisation, count] : counts)
+            {
+                auto const [place, added] = places.emplace(organisation, places.size());
+                if (added)
+                    names.push_back(organisation.str());
+                row.push_back(place->second);
+                row.push_back(count);
+            }
+            rows.push_back(std::move(row));
+        }
+    return json::array({std::move(names), std::move(rows)});
 }
 
 state::usage_by_writer read_usage(json const& from)
 {
+    element_reader in(from);
+    std::vector<state::organisation_id> names;
+    for (auto const& name : in.array())
+    {
+        require(name.is_string(), "name is not text");
+        names.emplace_back(name.get<std::string>());
+    }
     state::usage_by_writer usage;
-    for (auto const& e : from)
+    for (auto const& e : in.array())
     {
-        element_reader in(e);
-        state::window_number const window{in.integer()};
+        element_reader row(e);
+        state::window_number const window{row.integer()};
         state::usage_writer writer;
-        writer.id = state::instance_id{in.text()};
-        writer.life = state::incarnation{in.number()};
-        usage[window][writer] = read_counts(in.array());
+        writer.id = state::instance_id{row.text()};
+        writer.life = state::incarnation{row.number()};
+        auto& counts = usage[window][writer];
+        while (!row.at_end())
+        {
+            auto const place = row.number();
+            require(place < names.size(), "place beyond the names");
+            counts[names[place]] = row.integer();
+        }
     }
     return usage;
 }
@@ -86,6 +112,9 @@
     record.lease.holder = state::instance_id{in.text()};
     record.lease.fencing = state::fencing_number{in.number()};
     record.lease.until = state::wall_time{std::chrono::milliseconds{in.integer()}};
+    auto const address = decode_instance_address(in.text());
+    require(address.has_value(), "holder has no address");
+    record.holder_address = *address;
     record.reported_through = state::window_number{in.integer()};
     record.usage = read_usage(in.array());
     record.base = read_fleet(in.array());
@@ -109,7 +138,8 @@
 {
     auto out = json::array(
         {record.lease.holder.str(), record.lease.fencing.count(),
-         record.lease.until.time_since_epoch().count(), record.reported_through.count(),
+         record.lease.until.time_since_epoch().count(),
+         encode_instance_address(record.holder_address), record.reported_through.count(),
          encode_usage(record.usage), encode_fleet(record.base)});
     if (record.pending)
     {
--- a/src/protocol/gateway_status.cpp
+++ b/src/protocol/gateway_status.cpp
@@ -37,16 +37,12 @@
 
 json encode_instance(state::known_instance const& instance, state::time_point now)
 {
-    json out{
-        {"id", instance.id.str()},
-        {"address", text_of(instance.peer_address)},
+    return {
+        {"id", instance.report.id.str()},
+        {"address", text_of(instance.report.peer_address)},
         {"failure_domain", instance.report.failure_domain.str()},
         {"stopping", instance.report.stopping},
-        {"holds_duties", instance.report.holds_duties},
-        {"heard_ms_ago", nullptr}};
-    if (instance.heard_at)
-        out["heard_ms_ago"] = milliseconds(now - *instance.heard_at);
-    return out;
+        {"heard_ms_ago", milliseconds(now - instance.heard_at)}};
 }
 
 json encode_server(state::server_view const& server, state::time_point now)
@@ -78,6 +74,7 @@
         {"ready", status.ready},
         {"stopping", status.stopping},
         {"holds_duties", status.holds_duties},
+        {"duties_held_by", status.duties_holder.str()},
         {"configuration", encode_configuration(status)},
         {"instances", json::array()},
         {"backends", json::array()}};
--- a/src/protocol/gateway_status.hpp
+++ b/src/protocol/gateway_status.hpp
@@ -22,7 +22,8 @@
     bool holds_duties = false;
     state::route_set_ptr routes; ///< null before the first
     state::duration routes_age{0};
-    std::vector<state::known_instance> instances; ///< the others
+    state::instance_id duties_holder;             ///< empty when it is not known
+    std::vector<state::known_instance> instances; ///< the others, where this one holds the duties
     std::vector<state::server_view> servers;
     state::time_point now{};
 };
--- a/src/protocol/instance_report_codec.cpp
+++ b/src/protocol/instance_report_codec.cpp
@@ -57,6 +57,26 @@
     return loads;
 }
 
+json encode_consumed(state::consumed_units const& consumed)
+{
+    auto out = json::array();
+    for (auto const& [organisation, units] : consumed)
+        out.push_back({organisation.str(), units});
+    return out;
+}
+
+state::consumed_units read_consumed(json const& from)
+{
+    state::consumed_units consumed;
+    for (auto const& e : from)
+    {
+        element_reader in(e);
+        state::organisation_id const organisation{in.text()};
+        consumed[organisation] = in.decimal();
+    }
+    return consumed;
+}
+
 } // namespace
 
 void append_report(json& out, state::instance_report const& report)
@@ -67,13 +87,8 @@
     out.push_back(report.peer_address.host);
     out.push_back(report.peer_address.port);
     out.push_back(report.sequence);
-    out.push_back(report.heard);
     out.push_back(report.stopping);
-    out.push_back(report.holds_duties);
-    auto consumed = json::array();
-    for (auto const& [organisation, units] : report.consumed)
-        consumed.push_back({organisation.str(), units});
-    out.push_back(std::move(consumed));
+    out.push_back(encode_consumed(report.consumed));
     if (!report.details)
         return;
     out.push_back(report.details->wall_offset.count());
@@ -94,15 +109,8 @@
     require(port <= highest_port, "port is too large");
     report.peer_address.port = static_cast<std::uint16_t>(port);
     report.sequence = in.number();
-    report.heard = in.number();
     report.stopping = in.flag();
-    report.holds_duties = in.flag();
-    for (auto const& e : in.array())
-    {
-        element_reader entry(e);
-        state::organisation_id const organisation{entry.text()};
-        report.consumed[organisation] = entry.decimal();
-    }
+    report.consumed = read_consumed(in.array());
     if (in.at_end())
         return report;
     auto& details = report.details.emplace();
@@ -113,4 +121,30 @@
     return report;
 }
 
+void append_view(json& out, state::deployment_view const& view)
+{
+    out.push_back(view.from.id.str());
+    out.push_back(view.from.life.count());
+    out.push_back(view.sequence);
+    out.push_back(view.known);
+    out.push_back(view.live);
+    out.push_back(encode_consumed(view.consumed));
+    if (view.wall_offset)
+        out.push_back(view.wall_offset->count());
+}
+
+state::deployment_view read_view(element_reader& in)
+{
+    state::deployment_view view;
+    view.from.id = state::instance_id{in.text()};
+    view.from.life = state::incarnation{in.number()};
+    view.sequence = in.number();
+    view.known = in.number();
+    view.live = in.number();
+    view.consumed = read_consumed(in.array());
+    if (!in.at_end())
+        view.wall_offset = std::chrono::milliseconds{in.integer()};
+    return view;
+}
+
 } // namespace auburnweir::protocol
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -28,7 +28,8 @@
     grouped_result = 9,
     peer_ping = 10,
     peer_pong = 11,
-    instance_report = 12
+    instance_report = 12,
+    deployment_view = 13
 };
 
 /// Second element of an encoded write result.
@@ -228,6 +229,13 @@
     return out;
 }
 
+json encode_one(state::deployment_view const& m)
+{
+    auto out = array_of(message_kind::deployment_view);
+    append_view(out, m);
+    return out;
+}
+
 state::write_result read_result(element_reader& in)
 {
     switch (static_cast<result_kind>(in.integer()))
@@ -351,6 +359,8 @@
         return peer_pong{correlation{in.number()}};
     case message_kind::instance_report:
         return read_report(in);
+    case message_kind::deployment_view:
+        return read_view(in);
     }
     throw malformed{"unknown message kind"};
 }
--- a/src/protocol/peer_message.hpp
+++ b/src/protocol/peer_message.hpp
@@ -2,6 +2,7 @@
 #define AUBURNWEIR_PROTOCOL_PEER_MESSAGE_HPP
 
 #include "protocol/decoded.hpp"
+#include "state/deployment_view.hpp"
 #include "state/instance_report.hpp"
 #include "state/journal.hpp"
 #include "state/request.hpp"
@@ -127,7 +128,8 @@
 
 using peer_message = std::variant<
     journal_open, journal_batch, journal_ack, journal_read, journal_reply, journal_handover,
-    backend_leaving, grouped_write, grouped_result, peer_ping, peer_pong, state::instance_report>;
+    backend_leaving, grouped_write, grouped_result, peer_ping, peer_pong, state::instance_report,
+    state::deployment_view>;
 
 /// Encodes messages as one frame.
 std::string encode_frame(std::vector<peer_message> const& messages);
--- a/src/state/instance_report.hpp
+++ b/src/state/instance_report.hpp
@@ -46,9 +46,7 @@
     failure_domain_id failure_domain;
     endpoint peer_address;
     std::uint64_t sequence = 0; ///< grows with each report of a life
-    std::uint64_t heard = 0;    ///< last sequence heard from the receiver; 0: none
     bool stopping = false;
-    bool holds_duties = false;
     consumed_units consumed;
     std::optional<instance_details> details;
 
--- a/src/state/instance_report_table.hpp
+++ b/src/state/instance_report_table.hpp
@@ -10,67 +10,67 @@
 namespace auburnweir::state
 {
 
-/// What is known of another instance: where it is, and its last report.
+/// What the holder of the duties knows of another instance.
 struct known_instance
 {
-    instance_id id;
-    endpoint peer_address;
-    time_point known_since{};
-    std::optional<time_point> heard_at;
-    instance_report report;         ///< empty before the first
-    instance_details details;       ///< of the last report that had any
-    std::uint64_t acknowledged = 0; ///< last sequence of ours that it heard
-    std::optional<time_point> acknowledged_at;
+    time_point heard_at{};
+    instance_report report;
+    instance_details details; ///< of the last report that had any
+    consumed_units before;    ///< what its life had consumed when it was first heard
 };
 
-/// The other instances of the deployment.
+/// Instances that report to this one, which holds the duties.
 ///
 /// Thread-safe; takes `lock_rank::instance_reports`.
 class instance_report_table
 {
 public:
-    /// Makes an instance known by its address. @return true when that is news
-    bool introduce(instance_id const& id, endpoint const& address, time_point now)
-    {
-        ranked_lock lock(mutex_);
-        auto& e = entries_[id];
-        bool const news = e.id.empty() || e.peer_address != address;
-        if (e.id.empty())
-            e.known_since = now;
-        e.id = id;
-        e.peer_address = address;
-        return news;
-    }
-
-    /// Takes a report that is newer than the last. @return true when the instance lives anew
+    /// Takes a report that is newer than the last. @return true when the instance is new
     bool apply(instance_report report, time_point now)
     {
         ranked_lock lock(mutex_);
+        auto const known = entries_.find(report.id);
+        bool const first = known == entries_.end();
+        bool const new_life = first || known->second.report.life != report.life;
         auto& e = entries_[report.id];
-        bool const new_life = e.report.life != report.life;
         // Reports of an earlier life may still be on their way.
         bool const newer =
-            new_life ? report.life > e.report.life : report.sequence > e.report.sequence;
+            new_life ? first || report.life > e.report.life : report.sequence > e.report.sequence;
         if (!newer)
             return false;
-        if (e.id.empty())
-            e.known_since = now;
-        e.id = report.id;
-        e.peer_address = report.peer_address;
         e.heard_at = now;
         if (new_life)
-            e.acknowledged_at.reset();
-        if (report.heard > e.acknowledged || new_life)
-        {
-            e.acknowledged = report.heard;
-            e.acknowledged_at = now;
-        }
+            e.before = report.consumed;
         if (report.details)
             e.details = *report.details;
         e.report = std::move(report);
         return new_life;
     }
 
+    /// What each instance has consumed since it was first heard, summed over all but one.
+    consumed_units consumed_by_others(instance_id const& but) const
+    {
+        ranked_lock lock(mutex_);
+        consumed_units sum;
+        for (auto const& [id, e] : entries_)
+        {
+            if (id == but)
+                continue;
+            for (auto const& [organisation, units] : e.report.consumed)
+            {
+                auto const before = e.before.find(organisation);
+                sum[organisation] += units - (before == e.before.end() ? 0 : before->second);
+            }
+        }
+        return sum;
+    }
+
+    void clear()
+    {
+        ranked_lock lock(mutex_);
+        entries_.clear();
+    }
+
     /// Forgets instances that were silent for longer than `limit`, and those that stopped and
     /// were silent for longer than `stopped_limit`. @return their names
     std::vector<instance_id> expire(time_point now, duration limit, duration stopped_limit)
@@ -80,7 +80,7 @@
         for (auto it = entries_.begin(); it != entries_.end();)
         {
             auto const& e = it->second;
-            auto const silent = now - e.heard_at.value_or(e.known_since);
+            auto const silent = now - e.heard_at;
             auto const allowed = e.report.stopping ? stopped_limit : limit;
             if (silent <= allowed)
             {
--- a/src/transport/duty_runner.cpp
+++ b/src/transport/duty_runner.cpp
@@ -23,10 +23,14 @@
 /// Uncertainty of the estimate of the store's clock.
 constexpr state::duration clock_bound = std::chrono::milliseconds{200};
 
-/// Pause between the tries of neighbouring ranks, so that a lost holder is not replaced by a herd.
-constexpr state::duration rank_delay = std::chrono::milliseconds{250};
+/// Silence of the holder after which its row is read.
+constexpr state::duration holder_silence = std::chrono::milliseconds{1500};
 
-constexpr std::size_t most_ranks = 12;
+/// Looks at the row are spread over this time, so that a lost holder is not followed by a herd.
+constexpr state::duration look_spread = std::chrono::milliseconds{1000};
+
+/// Pause between two looks while nothing changes.
+constexpr state::duration look_pause = std::chrono::milliseconds{700};
 
 /// Time in which engines that run at the start have listed themselves.
 constexpr state::duration listing_time = std::chrono::seconds{5};
@@ -48,6 +52,7 @@
 duty_runner::duty_runner(gateway_context& context, peer_exchange& peers)
     : context_(context)
     , peers_(peers)
+    , random_(context.workers.at(0).random()())
 {
     lease_.length = context.settings.lease_bound + call_limit;
     lease_.clock_bound = clock_bound;
@@ -80,38 +85,36 @@
              {"why", std::string{why}}});
     held_.reset();
     placed_.clear();
-    peers_.holds_duties(false);
-    without_holder_since_ = now();
+    peers_.follow_nobody();
 }
 
-state::duration duty_runner::takeover_delay() const
+bool duty_runner::wants_to_look() const
 {
-    // Longer than a lost holder's lease only for the lower ranks.
-    return rank_delay * static_cast<std::int64_t>(std::min(peers_.rank(), most_ranks));
+    auto const time = now();
+    if (time < look_at_)
+        return false;
+    return peers_.holder().empty() || peers_.silence() > holder_silence;
 }
 
 net::awaitable<void> duty_runner::run()
 {
     auto& io = context_.workers.at(0).io();
     started_at_ = now();
-    without_holder_since_ = started_at_;
     while (context_.phase == stop_phase::running)
     {
         co_await sleep_for(io, step);
         if (is_holder())
             co_await hold();
-        else if (peers_.others_hold_duties())
-            without_holder_since_ = now();
-        else if (now() - without_holder_since_ >= takeover_delay())
-            co_await try_to_take();
+        else if (wants_to_look())
+            co_await look_for_holder();
     }
     lose("stopping");
 }
 
-net::awaitable<void> duty_runner::try_to_take()
+net::awaitable<void> duty_runner::look_for_holder()
 {
-    // The next try waits its turn again.
-    without_holder_since_ = now();
+    std::uniform_int_distribution<std::int64_t> spread(0, look_spread.count());
+    look_at_ = now() + look_pause + state::duration{spread(random_)};
     auto& store = context_.ports.store;
     table_name const table{duty_table_name};
     std::string const key{duty_key};
@@ -120,36 +123,47 @@
         co_return;
     auto const& got = listing.value();
     context_.clock.observe(got.store_time, got.asked, got.received);
-    held_row row;
-    std::optional<state::lease_record> current;
-    if (!got.rows.empty())
+    coordination::duty_record record;
+    record.reported_through = state::window_number{current_window().count() - 1};
+    if (got.rows.empty())
     {
-        row.version = got.rows.front().version;
-        auto const record = protocol::decode_duty_record(got.rows.front().value);
-        if (record)
-        {
-            row.record = *record;
-            current = record->lease;
-        }
-        else
-            log(log_event::duty_call_failed, {{"call", "read_lease"}, {"why", "unreadable_row"}});
+        co_await take(std::move(record), state::row_version{});
+        co_return;
     }
+    auto const found = protocol::decode_duty_record(got.rows.front().value);
+    if (found)
+        record = *found;
     else
-        row.record.reported_through = state::window_number{current_window().count() - 1};
+    {
+        log(log_event::duty_call_failed, {{"call", "read_lease"}, {"result", "unreadable_row"}});
+        // Row versions grow faster than fencing numbers, so this is above any used before.
+        record.lease.fencing = state::fencing_number{got.rows.front().version.count()};
+    }
+    auto const wanted = coordination::wanted_lease(
+        record.lease, context_.settings.id, context_.clock.store_earliest(), lease_);
+    if (wanted)
+        co_await take(std::move(record), got.rows.front().version);
+    else
+        peers_.follow(record.lease.holder, record.holder_address);
+}
+
+net::awaitable<void> duty_runner::take(coordination::duty_record record, state::row_version version)
+{
+    auto const before = record.lease.holder;
     auto const wanted = coordination::wanted_lease(
-        current, context_.settings.id, context_.clock.store_earliest(), lease_);
+        record.lease, context_.settings.id, context_.clock.store_earliest(), lease_);
     if (!wanted)
         co_return;
-    context_.tables.usage.merge(row.record.usage);
-    held_ = row;
-    auto record = row.record;
+    context_.tables.usage.merge(record.usage);
+    held_ = held_row{record, version};
     record.lease = *wanted;
+    record.holder_address = context_.settings.peer_listen;
     if (!co_await save(std::move(record)))
         co_return;
-    peers_.holds_duties(true);
+    peers_.lead();
     log(log_event::lease_taken,
         {{"fencing", std::to_string(wanted->fencing.count())},
-         {"before", current ? current->holder.str() : ""},
+         {"before", before.str()},
          {"reported_through", std::to_string(held_->record.reported_through.count())}});
 }
 
--- a/src/transport/duty_runner.hpp
+++ b/src/transport/duty_runner.hpp
@@ -5,6 +5,8 @@
 #include "transport/gateway_context.hpp"
 #include "transport/peer_exchange.hpp"
 
+#include <random>
+
 namespace auburnweir::transport
 {
 
@@ -33,7 +35,8 @@
     };
 
     net::awaitable<void> run();
-    net::awaitable<void> try_to_take();
+    net::awaitable<void> look_for_holder();
+    net::awaitable<void> take(coordination::duty_record record, state::row_version version);
     net::awaitable<void> hold();
     net::awaitable<bool> save(coordination::duty_record record);
     net::awaitable<void> report_usage();
@@ -45,7 +48,7 @@
     bool is_holder() const { return held_.has_value(); }
     void lose(std::string_view why);
     state::window_number current_window() const;
-    state::duration takeover_delay() const;
+    bool wants_to_look() const;
 
     gateway_context& context_;
     peer_exchange& peers_;
@@ -55,7 +58,8 @@
     state::time_point renewed_at_{};
     std::map<state::fleet_group, placed_order> placed_;
     state::time_point planned_at_{};
-    state::time_point without_holder_since_{};
+    state::time_point look_at_{}; ///< not before this time
+    std::mt19937_64 random_;
 };
 
 } // namespace auburnweir::transport
--- a/src/transport/gateway_server.cpp
+++ b/src/transport/gateway_server.cpp
@@ -61,8 +61,8 @@
                   requests_in_progress}
         , links(
               settings.id, settings.peer_key,
-              [this](auto const&, auto, protocol::peer_message m)
-              { peers.receive(std::move(m)); })
+              [this](auto const&, auto via, protocol::peer_message m)
+              { peers.receive(via, std::move(m)); })
         , peers(context, links)
         , duties(context, peers)
         , watch(context)
@@ -169,6 +169,7 @@
     status.ready = is_ready();
     status.stopping = phase != stop_phase::running;
     status.holds_duties = peers.holds_duties();
+    status.duties_holder = peers.holder();
     status.routes = tables.routes.current();
     status.now = now();
     status.routes_age = tables.routes.age(status.now);
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -1,6 +1,5 @@
 #include "transport/peer_exchange.hpp"
 
-#include "protocol/duty_record_codec.hpp"
 #include "transport/async_signal.hpp"
 #include "transport/log.hpp"
 
@@ -24,14 +23,14 @@
 /// The same for one that said that it stops.
 constexpr state::duration forget_stopped_after = std::chrono::seconds{3};
 
-/// A link whose reports are not acknowledged for so long is opened anew.
-constexpr state::duration longest_unacknowledged = std::chrono::milliseconds{2500};
-
-/// Table of the store and prefix of the rows that name instances.
+/// Table of the store with a row for each instance that ever started.
 constexpr char const* instance_table_name = "auburnweir-instances";
 
 constexpr state::duration pause_after_fault = std::chrono::milliseconds{300};
 
+/// Time in which instances that start together have written their rows.
+constexpr state::duration gathering_time = std::chrono::seconds{2};
+
 } // namespace
 
 peer_exchange::peer_exchange(gateway_context& context, peer_links& links)
@@ -42,12 +41,12 @@
 
 void peer_exchange::start()
 {
-    net::co_spawn(context_.workers.at(0).io(), introduce(), net::detached);
+    net::co_spawn(context_.workers.at(0).io(), count_instances(), net::detached);
     subscriptions_.push_back(
         context_.timers.every(context_.settings.report_period, [this] { tick(); }));
 }
 
-net::awaitable<void> peer_exchange::introduce()
+net::awaitable<void> peer_exchange::count_instances()
 {
     auto& store = context_.ports.store;
     auto const limit = context_.settings.store_timeout;
@@ -55,67 +54,120 @@
     conditional_write own;
     own.table = table_name{instance_table_name};
     own.key = context_.settings.id.str();
-    own.value = protocol::encode_instance_address(context_.settings.peer_listen);
-    bool written = false;
+    own.value = context_.settings.failure_domain.str();
     for (;;)
     {
-        if (!written)
-        {
-            auto const result = co_await store.write(own, limit);
-            written = std::holds_alternative<write_taken>(result);
-        }
-        if (written)
+        auto const result = co_await store.write(own, limit);
+        if (std::holds_alternative<write_taken>(result))
+            break;
+        co_await sleep_for(io, pause_after_fault);
+    }
+    co_await sleep_for(io, gathering_time);
+    for (;;)
+    {
+        auto const listing = co_await store.read_table(own.table, limit);
+        if (listing)
         {
-            auto const listing = co_await store.read_table(own.table, limit);
-            if (listing)
-            {
-                for (auto const& row : listing.value().rows)
-                {
-                    auto const address = protocol::decode_instance_address(row.value);
-                    if (address && row.key != own.key)
-                        context_.tables.reports.introduce(
-                            state::instance_id{row.key}, *address, now());
-                }
-                co_return;
-            }
+            std::lock_guard lock(mutex_);
+            if (known_ == 0)
+                known_ = listing.value().rows.size();
+            break;
         }
         co_await sleep_for(io, pause_after_fault);
     }
 }
 
-bool peer_exchange::is_live(state::known_instance const& peer) const
+void peer_exchange::follow(state::instance_id holder, state::endpoint address)
+{
+    std::lock_guard lock(mutex_);
+    bool const news = followed_.id != holder || followed_.peer_address != address;
+    if (!news)
+        return;
+    followed_ = {};
+    followed_.id = std::move(holder);
+    followed_.peer_address = std::move(address);
+    answered_at_ = now();
+}
+
+void peer_exchange::lead()
+{
+    context_.tables.reports.clear();
+    std::lock_guard lock(mutex_);
+    followed_ = {};
+    followed_.id = context_.settings.id;
+}
+
+void peer_exchange::follow_nobody()
+{
+    std::lock_guard lock(mutex_);
+    followed_ = {};
+}
+
+state::instance_id peer_exchange::holder() const
+{
+    std::lock_guard lock(mutex_);
+    return followed_.id;
+}
+
+state::duration peer_exchange::silence() const
 {
-    if (!peer.heard_at)
-        return false;
-    return now() - *peer.heard_at <= silent_periods * context_.settings.report_period;
+    std::lock_guard lock(mutex_);
+    return now() - answered_at_;
 }
 
 void peer_exchange::tick()
+{
+    state::instance to;
+    std::uint64_t known = 0;
+    {
+        std::lock_guard lock(mutex_);
+        to = followed_;
+        known = known_;
+    }
+    ++sequence_;
+    links_.sweep(now());
+    if (to.id == context_.settings.id)
+        return tick_as_holder();
+    if (!to.id.empty())
+        tick_as_follower(to);
+    bool const led = !to.id.empty() && silence() < silent_periods * context_.settings.report_period;
+    if (!led && known > 0)
+        context_.tables.quotas.see(1.0 / static_cast<double>(known));
+}
+
+void peer_exchange::tick_as_holder()
 {
     auto const time = now();
-    for (auto const& gone :
-         context_.tables.reports.expire(time, forget_after, forget_stopped_after))
+    auto& reports = context_.tables.reports;
+    for (auto const& gone : reports.expire(time, forget_after, forget_stopped_after))
         log(log_event::instance_gone, {{"instance", gone.str()}});
-    auto const peers = context_.tables.reports.all();
-    std::size_t seen = 1;
+    auto const members = reports.all();
     std::vector<std::chrono::milliseconds> opinions;
     if (auto const own = context_.clock.own_offset())
         opinions.push_back(*own);
-    for (auto const& peer : peers)
+    std::size_t live = 1;
+    for (auto const& member : members)
     {
-        if (!is_live(peer))
+        if (time - member.heard_at > silent_periods * context_.settings.report_period)
             continue;
-        ++seen;
-        if (peer.details.wall_offset.count() != 0)
-            opinions.push_back(peer.details.wall_offset);
+        ++live;
+        if (member.details.wall_offset.count() != 0)
+            opinions.push_back(member.details.wall_offset);
     }
-    context_.clock.agree(std::move(opinions));
-    context_.tables.quotas.see(static_cast<double>(seen) / static_cast<double>(peers.size() + 1));
-    ++sequence_;
-    auto const report = own_report(sequence_ % details_interval == 0);
-    for (auto const& peer : peers)
-        send_to(peer, report);
-    links_.sweep(time);
+    context_.clock.agree(coordination::agreed_offset(std::move(opinions)));
+    auto const known = members.size() + 1;
+    context_.tables.quotas.see(static_cast<double>(live) / static_cast<double>(known));
+    std::lock_guard lock(mutex_);
+    known_ = known;
+    live_ = live;
+}
+
+void peer_exchange::tick_as_follower(state::instance const& to)
+{
+    auto const limit = silent_periods * context_.settings.report_period;
+    if (silence() > limit && links_.age(to.id, now()) > limit)
+        links_.drop(to.id);
+    links_.send(to, own_report(sequence_ % details_interval == 0));
 }
 
 state::instance_report peer_exchange::own_report(bool with_details)
@@ -127,7 +179,6 @@
     report.peer_address = context_.settings.peer_listen;
     report.sequence = sequence_;
     report.stopping = context_.phase != stop_phase::running;
-    report.holds_duties = holds_duties_;
     report.consumed = context_.tables.quotas.consumed();
     if (!with_details)
         return report;
@@ -139,54 +190,57 @@
     return report;
 }
 
-void peer_exchange::send_to(state::known_instance const& peer, state::instance_report report)
+void peer_exchange::receive(connection_number via, protocol::peer_message message)
 {
-    auto const quiet_since = peer.acknowledged_at.value_or(peer.known_since);
-    bool const stuck = now() - quiet_since > longest_unacknowledged;
-    if (stuck && links_.age(peer.id, now()) > longest_unacknowledged)
-        links_.drop(peer.id);
-    report.heard = peer.report.sequence;
-    state::instance to;
-    to.id = peer.id;
-    to.peer_address = peer.peer_address;
-    links_.send(to, std::move(report));
+    if (auto* report = std::get_if<state::instance_report>(&message))
+        take_report(via, std::move(*report));
+    else if (auto const* view = std::get_if<state::deployment_view>(&message))
+        take_view(*view);
 }
 
-void peer_exchange::receive(protocol::peer_message message)
+void peer_exchange::take_report(connection_number via, state::instance_report report)
 {
-    auto* report = std::get_if<state::instance_report>(&message);
-    if (!report || report->id == context_.settings.id)
+    if (!holds_duties())
         return;
-    state::usage_writer const writer{report->id, report->life};
-    context_.tables.quotas.apply(writer, report->consumed);
-    if (report->details)
-        context_.tables.usage.merge(writer, report->details->usage);
-    if (context_.tables.reports.apply(std::move(*report), now()))
+    state::usage_writer const writer{report.id, report.life};
+    context_.tables.quotas.apply(writer, report.consumed);
+    if (report.details)
+        context_.tables.usage.merge(writer, report.details->usage);
+    if (context_.tables.reports.apply(report, now()))
         log(log_event::instance_appeared,
             {{"instance", writer.id.str()}, {"life", std::to_string(writer.life.count())}});
+    links_.reply(via, view_for(report));
 }
 
-bool peer_exchange::others_hold_duties() const
+state::deployment_view peer_exchange::view_for(state::instance_report const& report)
 {
-    auto const peers = context_.tables.reports.all();
-    return std::any_of(
-        peers.begin(), peers.end(),
-        [&](auto const& peer) { return peer.report.holds_duties && is_live(peer); });
+    state::deployment_view view;
+    view.from = {context_.settings.id, context_.life};
+    view.sequence = report.sequence;
+    view.consumed = context_.tables.reports.consumed_by_others(report.id);
+    for (auto const& [organisation, units] : context_.tables.quotas.consumed())
+        view.consumed[organisation] += units;
+    view.wall_offset = context_.clock.agreed();
+    std::lock_guard lock(mutex_);
+    view.known = known_;
+    view.live = live_;
+    return view;
 }
 
-std::size_t peer_exchange::live() const
+void peer_exchange::take_view(state::deployment_view const& view)
 {
-    auto const peers = context_.tables.reports.all();
-    return 1 + static_cast<std::size_t>(std::count_if(
-                   peers.begin(), peers.end(), [&](auto const& p) { return is_live(p); }));
-}
-
-std::size_t peer_exchange::rank() const
-{
-    auto const peers = context_.tables.reports.all();
-    return static_cast<std::size_t>(std::count_if(
-        peers.begin(), peers.end(),
-        [&](auto const& p) { return is_live(p) && p.id < context_.settings.id; }));
+    {
+        std::lock_guard lock(mutex_);
+        if (view.from.id != followed_.id)
+            return;
+        answered_at_ = now();
+        known_ = view.known;
+    }
+    context_.tables.quotas.apply(view.from, view.consumed);
+    context_.clock.agree(view.wall_offset);
+    if (view.known > 0)
+        context_.tables.quotas.see(
+            static_cast<double>(view.live) / static_cast<double>(view.known));
 }
 
 } // namespace auburnweir::transport
--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -7,10 +7,12 @@
 namespace auburnweir::transport
 {
 
-/// Tells the other instances what this one grants, counts and carries, and hears the same of them.
+/// Reports to the instance that holds the duties, and answers the others' reports where this one
+/// holds them. One link an instance, so that links and messages grow with the deployment and not
+/// with its square.
 ///
-/// Instances find each other by rows of the store, read once at the start; later ones introduce
-/// themselves. Reports go over peer links, so that the store's calls do not grow with them.
+/// Without a holder an instance keeps to its part of shared limits. Thread-safe; its lock is taken
+/// alone.
 class peer_exchange
 {
 public:
@@ -19,33 +21,44 @@
     void start();
 
     /// A message from a proved peer; on the links' thread.
-    void receive(protocol::peer_message message);
+    void receive(connection_number via, protocol::peer_message message);
 
-    /// Whether this instance says that it holds the duties.
-    void holds_duties(bool holds) { holds_duties_ = holds; }
-    bool holds_duties() const { return holds_duties_; }
+    /// From now on reports go to `holder`.
+    void follow(state::instance_id holder, state::endpoint address);
 
-    /// Whether a live instance, this one not included, says that it holds the duties.
-    bool others_hold_duties() const;
+    /// From now on this instance answers reports.
+    void lead();
 
-    /// Instances that were heard lately, this one included.
-    std::size_t live() const;
+    /// No holder is known.
+    void follow_nobody();
 
-    /// Position of this instance among the live ones, by name.
-    std::size_t rank() const;
+    /// The holder that is followed, or this instance; empty when none is known.
+    state::instance_id holder() const;
+    bool holds_duties() const { return holder() == context_.settings.id; }
+
+    /// How long the holder that is followed has not answered.
+    state::duration silence() const;
 
 private:
-    net::awaitable<void> introduce();
+    net::awaitable<void> count_instances();
     void tick();
+    void tick_as_holder();
+    void tick_as_follower(state::instance const& to);
     state::instance_report own_report(bool with_details);
-    void send_to(state::known_instance const& peer, state::instance_report report);
-    bool is_live(state::known_instance const& peer) const;
+    state::deployment_view view_for(state::instance_report const& report);
+    void take_report(connection_number via, state::instance_report report);
+    void take_view(state::deployment_view const& view);
 
     gateway_context& context_;
     peer_links& links_;
-    std::atomic<bool> holds_duties_{false};
-    std::uint64_t sequence_ = 0;
     std::vector<timer_subscription> subscriptions_;
+    std::uint64_t sequence_ = 0;
+
+    mutable std::mutex mutex_;
+    state::instance followed_; ///< empty when none is known
+    state::time_point answered_at_{};
+    std::uint64_t known_ = 0; ///< instances, by the last view or by their rows
+    std::uint64_t live_ = 1;  ///< where this instance holds the duties
 };
 
 } // namespace auburnweir::transport
--- a/src/transport/shared_clock.hpp
+++ b/src/transport/shared_clock.hpp
@@ -21,13 +21,18 @@
         store_.observe(reading, asked, received);
     }
 
-    /// @param opinions  the instances' wall clocks less the store's
-    void agree(std::vector<std::chrono::milliseconds> opinions)
+    /// Takes the instances' agreement on true time less the store's clock; null changes nothing.
+    void agree(std::optional<std::chrono::milliseconds> offset)
     {
-        auto const agreed = coordination::agreed_offset(std::move(opinions));
         std::lock_guard lock(mutex_);
-        if (agreed)
-            offset_ = *agreed;
+        if (offset)
+            offset_ = offset;
+    }
+
+    std::optional<std::chrono::milliseconds> agreed() const
+    {
+        std::lock_guard lock(mutex_);
+        return offset_;
     }
 
     /// Own wall clock less the store's; null before the store was heard.
