Tell followers the directory; ready while the store answers

Change: the holder's views carry what changed in the directory; a gateway reads it itself only while no fresh view comes. Watches are held for 1.9 s, and readiness goes by the time since the store's last answer.

--- a/src/protocol/gateway_settings.cpp
+++ b/src/protocol/gateway_settings.cpp
@@ -80,7 +80,7 @@
             "store_timeout_ms", "time for the store to answer a call", "1000", 10, 60000,
             &settings::store_timeout),
         milliseconds_option(
-            "watch_wait_ms", "longest that the store holds a watch open", "1500", 0, 30000,
+            "watch_wait_ms", "longest that the store holds a watch open", "1900", 0, 30000,
             &settings::watch_wait),
         milliseconds_option(
             "directory_period_ms", "time between looks for changed backend servers", "700", 50,
--- a/src/protocol/instance_report_codec.cpp
+++ b/src/protocol/instance_report_codec.cpp
@@ -8,6 +8,72 @@
 
 using nlohmann::json;
 
+state::endpoint read_endpoint(element_reader& in)
+{
+    constexpr std::uint64_t highest_port = 65535;
+    state::endpoint address;
+    address.host = in.text();
+    auto const port = in.number();
+    require(port <= highest_port, "port is too large");
+    address.port = static_cast<std::uint16_t>(port);
+    return address;
+}
+
+json encode_server(state::listed_server const& s)
+{
+    return json::array(
+        {s.id.str(), s.life.count(), s.service.str(), s.address.host, s.address.port,
+         s.failure_domain.str(), s.version.str(), s.slots, s.draining, s.reclaimable,
+         s.cold_for.count()});
+}
+
+state::listed_server read_server(json const& from)
+{
+    element_reader in(from);
+    state::listed_server s;
+    s.id = state::backend_id{in.text()};
+    s.life = state::incarnation{in.number()};
+    s.service = state::service_id{in.text()};
+    s.address = read_endpoint(in);
+    s.failure_domain = state::failure_domain_id{in.text()};
+    s.version = state::version_id{in.text()};
+    s.slots = in.integer();
+    s.draining = in.flag();
+    s.reclaimable = in.flag();
+    s.cold_for = state::duration{in.integer()};
+    return s;
+}
+
+json encode_news(state::directory_news const& news)
+{
+    auto listed = json::array();
+    for (auto const& server : news.listed)
+        listed.push_back(encode_server(server));
+    auto removed = json::array();
+    for (auto const& id : news.removed)
+        removed.push_back(id.str());
+    return json::array(
+        {news.version.count(), news.age.count(), news.whole, std::move(listed),
+         std::move(removed)});
+}
+
+state::directory_news read_news(json const& from)
+{
+    element_reader in(from);
+    state::directory_news news;
+    news.version = state::directory_version{in.number()};
+    news.age = state::duration{in.integer()};
+    news.whole = in.flag();
+    for (auto const& server : in.array())
+        news.listed.push_back(read_server(server));
+    for (auto const& id : in.array())
+    {
+        require(id.is_string(), "id is not text");
+        news.removed.emplace_back(id.get<std::string>());
+    }
+    return news;
+}
+
 json encode_usage(state::usage_by_window const& usage)
 {
     auto out = json::array();
@@ -88,6 +154,8 @@
     out.push_back(report.peer_address.port);
     out.push_back(report.sequence);
     out.push_back(report.stopping);
+    out.push_back(report.directory.count());
+    out.push_back(report.directory_from.count());
     out.push_back(encode_consumed(report.consumed));
     if (!report.details)
         return;
@@ -99,17 +167,15 @@
 
 state::instance_report read_report(element_reader& in)
 {
-    constexpr std::uint64_t highest_port = 65535;
     state::instance_report report;
     report.id = state::instance_id{in.text()};
     report.life = state::incarnation{in.number()};
     report.failure_domain = state::failure_domain_id{in.text()};
-    report.peer_address.host = in.text();
-    auto const port = in.number();
-    require(port <= highest_port, "port is too large");
-    report.peer_address.port = static_cast<std::uint16_t>(port);
+    report.peer_address = read_endpoint(in);
     report.sequence = in.number();
     report.stopping = in.flag();
+    report.directory = state::directory_version{in.number()};
+    report.directory_from = state::incarnation{in.number()};
     report.consumed = read_consumed(in.array());
     if (in.at_end())
         return report;
@@ -129,6 +195,7 @@
     out.push_back(view.known);
     out.push_back(view.live);
     out.push_back(encode_consumed(view.consumed));
+    out.push_back(view.directory ? encode_news(*view.directory) : json::array());
     if (view.wall_offset)
         out.push_back(view.wall_offset->count());
 }
@@ -142,6 +209,8 @@
     view.known = in.number();
     view.live = in.number();
     view.consumed = read_consumed(in.array());
+    if (auto const& news = in.array(); !news.empty())
+        view.directory = read_news(news);
     if (!in.at_end())
         view.wall_offset = std::chrono::milliseconds{in.integer()};
     return view;
--- a/src/state/deployment_view.hpp
+++ b/src/state/deployment_view.hpp
@@ -14,6 +14,7 @@
     std::uint64_t known = 1;    ///< instances, the silent ones included
     std::uint64_t live = 1;     ///< instances that were heard lately
     consumed_units consumed;    ///< by the others, since the holder first heard of each
+    std::optional<directory_news> directory;              ///< null before the holder has read it
     std::optional<std::chrono::milliseconds> wall_offset; ///< true time less the store's clock
 
     friend bool operator==(deployment_view const&, deployment_view const&) = default;
--- /dev/null
+++ b/src/state/directory_log.hpp
@@ -0,0 +1,99 @@
+#ifndef AUBURNWEIR_STATE_DIRECTORY_LOG_HPP
+#define AUBURNWEIR_STATE_DIRECTORY_LOG_HPP
+
+#include "state/lock_rank.hpp"
+#include "state/server_table.hpp"
+
+#include <optional>
+#include <vector>
+
+namespace auburnweir::state
+{
+
+/// Counts the changes of one instance's copy of the directory.
+using directory_version = quantity<struct directory_version_unit, std::uint64_t>;
+
+/// What changed in the directory, for an instance that does not read it itself.
+struct directory_news
+{
+    directory_version version; ///< after these changes
+    duration age{0};           ///< since the directory was read
+    bool whole = false;        ///< servers that are not listed are gone
+    std::vector<listed_server> listed;
+    std::vector<backend_id> removed;
+
+    friend bool operator==(directory_news const&, directory_news const&) = default;
+};
+
+/// The directory as this instance last read it, and since when each row is so.
+///
+/// Thread-safe; takes `lock_rank::directory_log`.
+class directory_log
+{
+public:
+    void listed(listed_server const& server)
+    {
+        ranked_lock lock(mutex_);
+        auto& e = entries_[server.id];
+        if (e.server == server)
+            return;
+        e.server = server;
+        e.version = ++last_;
+    }
+
+    void removed(backend_id const& id)
+    {
+        ranked_lock lock(mutex_);
+        auto const it = entries_.find(id);
+        if (it == entries_.end() || !it->second.server)
+            return;
+        it->second.server.reset();
+        it->second.version = ++last_;
+    }
+
+    /// The directory was read by a question of `asked`.
+    void confirm(time_point asked)
+    {
+        ranked_lock lock(mutex_);
+        read_at_ = asked;
+    }
+
+    /// @param known  version that the other instance has; 0: none
+    /// @return null before the directory was read
+    std::optional<directory_news> since(directory_version known, time_point now) const
+    {
+        ranked_lock lock(mutex_);
+        if (!read_at_)
+            return std::nullopt;
+        directory_news news;
+        news.version = directory_version{last_};
+        news.age = now - *read_at_;
+        news.whole = known.count() == 0;
+        for (auto const& [id, e] : entries_)
+        {
+            if (e.version <= known.count())
+                continue;
+            if (e.server)
+                news.listed.push_back(*e.server);
+            else if (!news.whole)
+                news.removed.push_back(id);
+        }
+        return news;
+    }
+
+private:
+    struct entry
+    {
+        std::optional<listed_server> server; ///< null once removed
+        std::uint64_t version = 0;
+    };
+
+    mutable ranked_mutex mutex_{lock_rank::directory_log};
+    std::map<backend_id, entry> entries_;
+    std::uint64_t last_ = 0;
+    std::optional<time_point> read_at_;
+};
+
+} // namespace auburnweir::state
+
+#endif
--- a/src/state/instance_report.hpp
+++ b/src/state/instance_report.hpp
@@ -2,6 +2,7 @@
 #define AUBURNWEIR_STATE_INSTANCE_REPORT_HPP
 
 #include "state/configuration.hpp"
+#include "state/directory_log.hpp"
 #include "state/ids.hpp"
 #include "state/time.hpp"
 #include "state/usage_table.hpp"
@@ -47,6 +48,8 @@
     endpoint peer_address;
     std::uint64_t sequence = 0; ///< grows with each report of a life
     bool stopping = false;
+    directory_version directory{0}; ///< news of the directory that it has; 0: none
+    incarnation directory_from{0};  ///< life of the holder that counts them
     consumed_units consumed;
     std::optional<instance_details> details;
 
--- a/src/state/server_table.cpp
+++ b/src/state/server_table.cpp
@@ -139,7 +139,7 @@
     ++it->second.view.sent_since_load;
 }
 
-void server_table::loaded(backend_id const& id, load_report report, time_point now)
+void server_table::loaded(backend_id const& id, server_load report, time_point now)
 {
     ranked_lock lock(mutex_);
     auto const it = entries_.find(id);
--- a/src/state/server_table.hpp
+++ b/src/state/server_table.hpp
@@ -31,7 +31,7 @@
 };
 
 /// Requests that a backend server said it holds.
-struct load_report
+struct server_load
 {
     std::int64_t running = 0;
     std::int64_t waiting = 0;
@@ -53,7 +53,7 @@
 {
     listed_server listed;
     std::int64_t sent = 0;           ///< requests of this instance in progress there
-    std::optional<load_report> load; ///< last report
+    std::optional<server_load> load; ///< last report
     time_point load_at{};
     std::int64_t sent_since_load = 0;
     int failures_in_row = 0;
@@ -108,7 +108,7 @@
     std::optional<server_view> view(backend_id const& id) const;
 
     void sent(backend_id const& id);
-    void loaded(backend_id const& id, load_report report, time_point now);
+    void loaded(backend_id const& id, server_load report, time_point now);
 
     /// A request ended. @return the view after it
     std::optional<server_view> ended(backend_id const& id, server_outcome outcome, time_point now);
--- /dev/null
+++ b/src/transport/directory_keeper.cpp
@@ -0,0 +1,117 @@
+#include "transport/directory_keeper.hpp"
+
+#include "transport/log.hpp"
+
+namespace auburnweir::transport
+{
+
+namespace
+{
+
+/// Time in which backend servers that were dropped while the store was away list themselves again.
+constexpr state::duration relisting_time = std::chrono::milliseconds{2300};
+
+/// News older than this do not replace own reads; short against the bound for leaving servers.
+constexpr state::duration longest_feed_age = std::chrono::milliseconds{1400};
+
+} // namespace
+
+void directory_keeper::take_rows(row_listing const& listing, bool whole)
+{
+    std::lock_guard lock(mutex_);
+    std::set<state::backend_id> listed;
+    for (auto const& row : listing.rows)
+    {
+        if (row.removed)
+            drop(state::backend_id{row.key});
+        else
+            take_row(row);
+        listed.insert(state::backend_id{row.key});
+    }
+    if (whole)
+        drop_all_but(listed);
+    context_.tables.directory.confirm(listing.asked);
+}
+
+void directory_keeper::take_news(state::directory_news const& news)
+{
+    std::lock_guard lock(mutex_);
+    fed_at_ = now() - news.age;
+    std::set<state::backend_id> listed;
+    for (auto const& server : news.listed)
+    {
+        take_server(server);
+        listed.insert(server.id);
+    }
+    for (auto const& id : news.removed)
+        drop(id);
+    if (news.whole)
+        drop_all_but(listed);
+}
+
+void directory_keeper::note_store_fault()
+{
+    std::lock_guard lock(mutex_);
+    store_failed_at_ = now();
+}
+
+bool directory_keeper::is_fed() const
+{
+    std::lock_guard lock(mutex_);
+    return now() - fed_at_ <= longest_feed_age;
+}
+
+void directory_keeper::expire()
+{
+    std::lock_guard lock(mutex_);
+    for (auto const& gone : context_.tables.servers.expire_missing(now(), relisting_time))
+    {
+        context_.tables.directory.removed(gone);
+        log(log_event::backend_gone, {{"backend", gone.str()}, {"why", "not_listed_again"}});
+    }
+}
+
+void directory_keeper::take_row(stored_row const& row)
+{
+    auto const listed = context_.ports.format.server(row.key, row.value);
+    if (listed)
+        take_server(*listed);
+    else
+        log(log_event::backend_row_unreadable, {{"backend", row.key}});
+}
+
+void directory_keeper::take_server(state::listed_server const& listed)
+{
+    context_.tables.directory.listed(listed);
+    using change = state::server_table::change;
+    auto const what = context_.tables.servers.apply(listed, now());
+    if (what == change::none)
+        return;
+    log(what == change::leaving ? log_event::backend_leaving : log_event::backend_listed,
+        {{"backend", listed.id.str()},
+         {"service", listed.service.str()},
+         {"failure_domain", listed.failure_domain.str()},
+         {"address", listed.address.host + ":" + std::to_string(listed.address.port)},
+         {"life", std::to_string(listed.life.count())},
+         {"reclaimable", listed.reclaimable ? "yes" : "no"}});
+}
+
+void directory_keeper::drop(state::backend_id const& id)
+{
+    bool const store_was_away =
+        store_failed_at_ != state::time_point{} && now() - store_failed_at_ < relisting_time;
+    using change = state::server_table::change;
+    if (context_.tables.servers.drop(id, store_was_away, now()) != change::removed)
+        return;
+    context_.tables.directory.removed(id);
+    log(log_event::backend_gone, {{"backend", id.str()}, {"why", "not_listed"}});
+}
+
+void directory_keeper::drop_all_but(std::set<state::backend_id> const& listed)
+{
+    for (auto const& known : context_.tables.servers.names())
+        if (!listed.contains(known))
+            drop(known);
+}
+
+} // namespace auburnweir::transport
--- /dev/null
+++ b/src/transport/directory_keeper.hpp
@@ -0,0 +1,51 @@
+#ifndef AUBURNWEIR_TRANSPORT_DIRECTORY_KEEPER_HPP
+#define AUBURNWEIR_TRANSPORT_DIRECTORY_KEEPER_HPP
+
+#include "transport/gateway_context.hpp"
+
+#include <mutex>
+#include <set>
+
+namespace auburnweir::transport
+{
+
+/// Applies what the directory says of backend servers, read here or told by the holder of the
+/// duties, and keeps it for others. Thread-safe; its lock is taken before those of the tables.
+class directory_keeper
+{
+public:
+    explicit directory_keeper(gateway_context& context)
+        : context_(context)
+    {
+    }
+
+    /// Rows that were read from the store. @param whole  servers without a row are gone
+    void take_rows(row_listing const& listing, bool whole);
+
+    /// News from the holder of the duties.
+    void take_news(state::directory_news const& news);
+
+    /// The store failed; for a while, servers that it then drops may list themselves again.
+    void note_store_fault();
+
+    /// Forgets servers that have not listed themselves again.
+    void expire();
+
+    /// True while the holder's news are fresh enough to do without own reads.
+    bool is_fed() const;
+
+private:
+    void take_row(stored_row const& row);
+    void take_server(state::listed_server const& listed);
+    void drop(state::backend_id const& id);
+    void drop_all_but(std::set<state::backend_id> const& listed);
+
+    gateway_context& context_;
+    mutable std::mutex mutex_;
+    state::time_point store_failed_at_{};
+    state::time_point fed_at_{};
+};
+
+} // namespace auburnweir::transport
+
+#endif
--- a/src/transport/gateway_server.cpp
+++ b/src/transport/gateway_server.cpp
@@ -30,7 +30,7 @@
 /// Part of the grace that is kept in hand before the kill.
 constexpr state::duration grace_margin = std::chrono::milliseconds{400};
 
-/// Share of the revocation bound after which keyed requests are better sent to other instances.
+/// Share of the revocation bound after which a silent store makes other instances the better ones.
 constexpr double ready_share_of_bound = 0.55;
 
 constexpr int status_ok = 200;
@@ -63,9 +63,10 @@
               settings.id, settings.peer_key,
               [this](auto const&, auto via, protocol::peer_message m)
               { peers.receive(via, std::move(m)); })
-        , peers(context, links)
+        , directory(context)
+        , peers(context, links, directory)
         , duties(context, peers)
-        , watch(context)
+        , watch(context, directory)
         , callers(
               workers,
               [this](worker& home, tcp::socket socket)
@@ -100,6 +101,7 @@
     owned_ports ports;
     gateway_context context;
     peer_links links;
+    directory_keeper directory;
     peer_exchange peers;
     duty_runner duties;
     store_watch watch;
@@ -120,8 +122,8 @@
 {
     if (phase != stop_phase::running || !watch.complete())
         return false;
-    auto const age = tables.routes.age(now());
-    return age.count() <
+    auto const silence = tables.routes.silence(now());
+    return silence.count() <
            ready_share_of_bound * static_cast<double>(settings.revocation_bound.count());
 }
 
--- a/src/transport/gateway_tables.hpp
+++ b/src/transport/gateway_tables.hpp
@@ -5,6 +5,7 @@
 #include "coordination/shared_quota.hpp"
 #include "protocol/gateway_settings.hpp"
 #include "state/counters.hpp"
+#include "state/directory_log.hpp"
 #include "state/instance_report_table.hpp"
 #include "state/latency_histogram.hpp"
 #include "state/load_table.hpp"
@@ -35,6 +36,7 @@
 
     state::route_table routes;
     state::server_table servers;
+    state::directory_log directory;
     coordination::shared_quota quotas;
     coordination::repeat_budget repeats;
     state::usage_table usage;
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -39,9 +39,11 @@
 
 } // namespace
 
-peer_exchange::peer_exchange(gateway_context& context, peer_links& links)
+peer_exchange::peer_exchange(
+    gateway_context& context, peer_links& links, directory_keeper& directory)
     : context_(context)
     , links_(links)
+    , directory_(directory)
 {
 }
 
@@ -215,6 +217,12 @@
     report.peer_address = context_.settings.peer_listen;
     report.sequence = ++sequence_;
     report.stopping = context_.phase != stop_phase::running;
+    {
+        std::lock_guard lock(mutex_);
+        if (fed_by_.id == followed_.id)
+            report.directory = fed_version_;
+        report.directory_from = fed_by_.life;
+    }
     report.consumed = context_.tables.quotas.tell_consumed();
     if (!with_details)
         return report;
@@ -257,6 +265,9 @@
     for (auto const& [organisation, units] : context_.tables.quotas.consumed())
         view.consumed[organisation] += units;
     view.wall_offset = context_.clock.agreed();
+    bool const known_here = report.directory_from == context_.life;
+    view.directory = context_.tables.directory.since(
+        known_here ? report.directory : state::directory_version{0}, now());
     std::lock_guard lock(mutex_);
     view.known = known_;
     view.live = live_;
@@ -271,7 +282,14 @@
             return;
         answered_at_ = now();
         known_ = view.known;
+        if (view.directory)
+        {
+            fed_by_ = view.from;
+            fed_version_ = view.directory->version;
+        }
     }
+    if (view.directory)
+        directory_.take_news(*view.directory);
     context_.tables.quotas.apply(view.from, view.consumed, now());
     context_.clock.agree(view.wall_offset);
     see(view.live, view.known, view_validity());
--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -1,7 +1,7 @@
 #ifndef AUBURNWEIR_TRANSPORT_PEER_EXCHANGE_HPP
 #define AUBURNWEIR_TRANSPORT_PEER_EXCHANGE_HPP
 
-#include "transport/gateway_context.hpp"
+#include "transport/directory_keeper.hpp"
 #include "transport/peer_links.hpp"
 
 namespace auburnweir::transport
@@ -16,7 +16,7 @@
 class peer_exchange
 {
 public:
-    peer_exchange(gateway_context& context, peer_links& links);
+    peer_exchange(gateway_context& context, peer_links& links, directory_keeper& directory);
 
     void start();
 
@@ -54,6 +54,7 @@
 
     gateway_context& context_;
     peer_links& links_;
+    directory_keeper& directory_;
     std::vector<timer_subscription> subscriptions_;
     std::uint64_t ticks_ = 0;
     std::uint64_t sequence_ = 0;
@@ -61,8 +62,10 @@
     mutable std::mutex mutex_;
     state::instance followed_; ///< empty when none is known
     state::time_point answered_at_{};
-    std::uint64_t known_ = 0;     ///< instances, by the last view or by their rows
-    std::uint64_t live_ = 1;      ///< where this instance holds the duties
+    state::usage_writer fed_by_;              ///< whose news of the directory were taken last
+    state::directory_version fed_version_{0}; ///< in its count
+    std::uint64_t known_ = 0;                 ///< instances, by the last view or by their rows
+    std::uint64_t live_ = 1;                  ///< where this instance holds the duties
     std::uint64_t inherited_ = 0; ///< instances that were known when this one became the holder
     state::time_point leads_since_{};
 };
--- a/src/transport/request_dialect.hpp
+++ b/src/transport/request_dialect.hpp
@@ -26,7 +26,7 @@
     std::string request;  ///< the request that it answers; empty when it does not say
     bool not_run = false; ///< it states that it has not run the request and will not
     bool leaving = false; ///< its connection is to be closed
-    std::optional<state::load_report> load;
+    std::optional<state::server_load> load;
 };
 
 /// Port: how requests and answers carry the gateway's matters in their headers.
--- a/src/transport/store_watch.cpp
+++ b/src/transport/store_watch.cpp
@@ -14,8 +14,8 @@
 /// Pause after a failed call to the store; short against the bounds of freshness.
 constexpr state::duration pause_after_fault = std::chrono::milliseconds{150};
 
-/// Time in which backend servers that were dropped while the store was away list themselves again.
-constexpr state::duration relisting_time = std::chrono::milliseconds{2300};
+/// Pause between looks at whether the holder's news still come.
+constexpr state::duration fed_pause = std::chrono::milliseconds{200};
 
 std::string text_of(state::duration d)
 {
@@ -24,8 +24,9 @@
 
 } // namespace
 
-store_watch::store_watch(gateway_context& context)
+store_watch::store_watch(gateway_context& context, directory_keeper& directory)
     : context_(context)
+    , directory_(directory)
     , io_(context.workers.at(0).io())
 {
 }
@@ -76,7 +77,7 @@
         since = std::max(since, listing.version);
         whole = false;
         if (have_routes_)
-            context_.tables.routes.confirm(listing.asked);
+            context_.tables.routes.confirm(listing.asked, listing.received);
         note(configuration_reachable_, "configuration", std::nullopt);
     }
 }
@@ -117,6 +118,12 @@
     state::row_version since;
     for (;;)
     {
+        directory_.expire();
+        if (have_servers_ && directory_.is_fed())
+        {
+            co_await sleep_for(io_, fed_pause);
+            continue;
+        }
         store_result<row_listing> got = store_fault::unreachable;
         if (whole)
             got = co_await store.read_table(table, settings.store_timeout);
@@ -125,7 +132,7 @@
                 table, since, state::duration::zero(), settings.store_timeout);
         if (got)
         {
-            take_servers(got.value(), whole);
+            directory_.take_rows(got.value(), whole);
             since = std::max(since, got.value().version);
             whole = false;
             have_servers_ = true;
@@ -134,63 +141,11 @@
         else
         {
             whole = whole || got.error() == store_fault::history_dropped;
-            directory_failed_at_ = now();
+            directory_.note_store_fault();
             note(directory_reachable_, "directory", got.error());
         }
-        for (auto const& gone : context_.tables.servers.expire_missing(now(), relisting_time))
-            log(log_event::backend_gone, {{"backend", gone.str()}, {"why", "not_listed_again"}});
         co_await sleep_for(io_, got ? settings.directory_period : pause_after_fault);
     }
 }
 
-void store_watch::take_servers(row_listing const& listing, bool whole)
-{
-    std::set<state::backend_id> listed;
-    for (auto const& row : listing.rows)
-    {
-        if (row.removed)
-            drop_server(state::backend_id{row.key});
-        else
-            take_server(row);
-        listed.insert(state::backend_id{row.key});
-    }
-    if (!whole)
-        return;
-    for (auto const& known : context_.tables.servers.names())
-        if (!listed.contains(known))
-            drop_server(known);
-}
-
-void store_watch::take_server(stored_row const& row)
-{
-    auto const listed = context_.ports.format.server(row.key, row.value);
-    if (!listed)
-    {
-        log(log_event::backend_row_unreadable, {{"backend", row.key}});
-        return;
-    }
-    using change = state::server_table::change;
-    auto const what = context_.tables.servers.apply(*listed, now());
-    if (what == change::none)
-        return;
-    log(what == change::leaving ? log_event::backend_leaving : log_event::backend_listed,
-        {{"backend", listed->id.str()},
-         {"service", listed->service.str()},
-         {"failure_domain", listed->failure_domain.str()},
-         {"address", listed->address.host + ":" + std::to_string(listed->address.port)},
-         {"life", std::to_string(listed->life.count())},
-         {"reclaimable", listed->reclaimable ? "yes" : "no"},
-         {"row", std::to_string(row.version.count())}});
-}
-
-void store_watch::drop_server(state::backend_id const& id)
-{
-    bool const store_was_away = directory_failed_at_ != state::time_point{} &&
-                                now() - directory_failed_at_ < relisting_time;
-    using change = state::server_table::change;
-    auto const what = context_.tables.servers.drop(id, store_was_away, now());
-    if (what == change::removed)
-        log(log_event::backend_gone, {{"backend", id.str()}, {"why", "not_listed"}});
-}
-
 } // namespace auburnweir::transport
--- a/src/transport/store_watch.hpp
+++ b/src/transport/store_watch.hpp
@@ -1,9 +1,7 @@
 #ifndef AUBURNWEIR_TRANSPORT_STORE_WATCH_HPP
 #define AUBURNWEIR_TRANSPORT_STORE_WATCH_HPP
 
-#include "transport/gateway_context.hpp"
-
-#include <map>
+#include "transport/directory_keeper.hpp"
 
 namespace auburnweir::transport
 {
@@ -12,7 +10,7 @@
 class store_watch
 {
 public:
-    explicit store_watch(gateway_context& context);
+    store_watch(gateway_context& context, directory_keeper& directory);
 
     void start();
 
@@ -24,18 +22,15 @@
     net::awaitable<void> watch_directory();
     void take_operator_rows(row_listing const& listing);
     void take_configuration(std::string const& text);
-    void take_servers(row_listing const& listing, bool whole);
-    void take_server(stored_row const& row);
-    void drop_server(state::backend_id const& id);
     void note(bool& reachable, std::string_view what, std::optional<store_fault> fault);
 
     gateway_context& context_;
+    directory_keeper& directory_;
     net::io_context& io_;
     bool have_routes_ = false;
     bool have_servers_ = false;
     bool configuration_reachable_ = true;
     bool directory_reachable_ = true;
-    state::time_point directory_failed_at_{};
 };
 
 } // namespace auburnweir::transport
