Divide the slack of repeats by the instances that are known; drop unused loads

Cause: the slack was divided by a setting of 12; eighty gateways together could repeat six times what is allowed. Loads were reported and read by nobody. Change: each gateway holds its part of the slack by the number in the holder's views.

--- a/src/coordination/repeat_budget.cpp
+++ b/src/coordination/repeat_budget.cpp
@@ -11,6 +11,12 @@
             times->pop_front();
 }
 
+void repeat_budget::slack(double repeats)
+{
+    state::ranked_lock lock(mutex_);
+    limits_.slack = repeats;
+}
+
 void repeat_budget::record_request(state::service_id const& service, state::time_point now)
 {
     state::ranked_lock lock(mutex_);
--- a/src/coordination/repeat_budget.hpp
+++ b/src/coordination/repeat_budget.hpp
@@ -15,7 +15,7 @@
 struct repeat_limits
 {
     double ratio = 0.2; ///< repeats for each first request
-    double slack = 4;   ///< repeats that this instance may add in any window
+    double slack = 0;   ///< repeats that this instance may add in any window
     state::duration window = std::chrono::seconds{10};
 };
 
@@ -31,6 +31,9 @@
     {
     }
 
+    /// Changes this instance's part of the slack.
+    void slack(double repeats);
+
     void record_request(state::service_id const& service, state::time_point now);
 
     /// Takes one repeat. @return false when the window's repeats are used up
--- a/src/protocol/gateway_settings.cpp
+++ b/src/protocol/gateway_settings.cpp
@@ -42,9 +42,6 @@
             "log_level", "least severe events that are logged", "info",
             {"debug", "info", "warning", "error"}, &settings::log_level),
         count_option("workers", "worker threads", "1", 1, 64, &settings::workers),
-        count_option(
-            "most_instances", "instances that there may be at once; divides shared limits", "12", 1,
-            1000, &settings::most_instances),
         number_option<double, settings>(
             "repeat_ratio", "repeated sends for each request, over all instances", "0.2", 0.0, 1.0,
             [](settings& s, double v) { s.repeat_ratio = v; }),
--- a/src/protocol/gateway_settings.hpp
+++ b/src/protocol/gateway_settings.hpp
@@ -30,7 +30,6 @@
     std::string log_level;
 
     std::int64_t workers = 0;
-    std::int64_t most_instances = 0;
     double repeat_ratio = 0;
     double repeat_slack = 0;
     state::duration repeat_window{0};
--- a/src/protocol/instance_report_codec.cpp
+++ b/src/protocol/instance_report_codec.cpp
@@ -96,33 +96,6 @@
     return usage;
 }
 
-json encode_loads(std::map<state::service_id, state::service_load> const& loads)
-{
-    auto out = json::array();
-    for (auto const& [service, load] : loads)
-        out.push_back(
-            {service.str(), load.running, load.requests, load.prompt_tokens, load.output_tokens,
-             load.refused});
-    return out;
-}
-
-std::map<state::service_id, state::service_load> read_loads(json const& from)
-{
-    std::map<state::service_id, state::service_load> loads;
-    for (auto const& e : from)
-    {
-        element_reader in(e);
-        state::service_id const service{in.text()};
-        auto& load = loads[service];
-        load.running = in.integer();
-        load.requests = in.integer();
-        load.prompt_tokens = in.integer();
-        load.output_tokens = in.integer();
-        load.refused = in.integer();
-    }
-    return loads;
-}
-
 json encode_consumed(state::consumed_units const& consumed)
 {
     auto out = json::array();
@@ -162,7 +135,6 @@
     out.push_back(report.details->wall_offset.count());
     out.push_back(report.details->counted_until.count());
     out.push_back(encode_usage(report.details->usage));
-    out.push_back(encode_loads(report.details->loads));
 }
 
 state::instance_report read_report(element_reader& in)
@@ -183,7 +155,6 @@
     details.wall_offset = std::chrono::milliseconds{in.integer()};
     details.counted_until = std::chrono::milliseconds{in.integer()};
     details.usage = read_usage(in.array());
-    details.loads = read_loads(in.array());
     return report;
 }
 
--- a/src/state/instance_report.hpp
+++ b/src/state/instance_report.hpp
@@ -13,18 +13,6 @@
 namespace auburnweir::state
 {
 
-/// What one instance sends to one service's backend servers.
-struct service_load
-{
-    std::int64_t running = 0;       ///< sent and not ended
-    std::int64_t requests = 0;      ///< sent since the process began
-    std::int64_t prompt_tokens = 0; ///< of those requests
-    std::int64_t output_tokens = 0; ///< most that those requests may get
-    std::int64_t refused = 0;       ///< turned away for want of room since the process began
-
-    friend bool operator==(service_load const&, service_load const&) = default;
-};
-
 /// Units of each organisation's limit that an instance granted since its process began.
 using consumed_units = std::map<organisation_id, double>;
 
@@ -34,7 +22,6 @@
     std::chrono::milliseconds wall_offset{0};   ///< own wall clock less the store's steady clock
     std::chrono::milliseconds counted_until{0}; ///< true time up to which `usage` is complete
     usage_by_window usage;
-    std::map<service_id, service_load> loads;
 
     friend bool operator==(instance_details const&, instance_details const&) = default;
 };
--- a/src/state/lock_rank.hpp
+++ b/src/state/lock_rank.hpp
@@ -17,7 +17,6 @@
     directory_log = 35,
     prefix_index = 40,
     retry_budget = 50,
-    load = 51,
     quota = 52,
     usage = 53,
     instance_reports = 54,
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -270,7 +270,6 @@
     tried_.insert(server.listed.id);
     context_.tables.counters.increment(state::event_counter::backend_attempts);
     context_.tables.servers.sent(server.listed.id);
-    context_.tables.loads.sent(service_, head_.prompt, head_.most_output);
     auto opened = co_await home_.http().open(server.listed.address, std::move(call), policy);
     if (opened)
     {
@@ -510,8 +509,6 @@
     for (auto& header : context_.ports.dialect.own_answer(head_))
         reply.headers.push_back(std::move(header));
     auto const status = reply.status;
-    if (p.reason == refusal_reason::backend_full || p.reason == refusal_reason::no_backend)
-        context_.tables.loads.refused(service_);
     context_.tables.counters.increment(p.reason);
     log(log_event::request_refused,
         {{"request", head_.id.str()},
@@ -529,7 +526,6 @@
 void forwarder::end_attempt(state::server_view const& server, server_outcome outcome)
 {
     auto& servers = context_.tables.servers;
-    context_.tables.loads.ended(service_);
     auto const after = servers.ended(server.listed.id, outcome, now());
     if (!after)
         return;
--- a/src/transport/gateway_tables.hpp
+++ b/src/transport/gateway_tables.hpp
@@ -8,7 +8,6 @@
 #include "state/directory_log.hpp"
 #include "state/instance_report_table.hpp"
 #include "state/latency_histogram.hpp"
-#include "state/load_table.hpp"
 #include "state/route_table.hpp"
 #include "state/server_table.hpp"
 #include "state/usage_table.hpp"
@@ -28,10 +27,10 @@
     /// More than are ever due at once, with the usual window and delay.
     static constexpr std::size_t usage_windows_kept = 12;
 
+    /// The slack follows when the number of instances is known.
     static coordination::repeat_limits repeat_limits_of(protocol::gateway_settings const& s)
     {
-        auto const part = s.repeat_slack / static_cast<double>(s.most_instances);
-        return {s.repeat_ratio, part, s.repeat_window};
+        return {s.repeat_ratio, 0, s.repeat_window};
     }
 
     state::route_table routes;
@@ -40,7 +39,6 @@
     coordination::shared_quota quotas;
     coordination::repeat_budget repeats;
     state::usage_table usage;
-    state::load_table loads;
     state::instance_report_table reports;
     state::counters counters;
     state::latency_histogram first_part; ///< arrival to the answer's first byte
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -23,6 +23,9 @@
 /// Time beyond a report period in which the next view arrives, between regions too.
 constexpr state::duration way_margin = std::chrono::milliseconds{100};
 
+/// Part of the slack of repeats that is divided; the rest is for instances not known yet.
+constexpr double slack_in_use = 0.8;
+
 /// Silence after which an instance is forgotten; until then its part of shared limits is kept free.
 constexpr state::duration forget_after = std::chrono::seconds{15};
 
@@ -154,6 +157,7 @@
 {
     auto const all = static_cast<double>(std::max<std::uint64_t>(known, 1));
     context_.tables.quotas.see(static_cast<double>(live) / all, now() + valid, 1 / all);
+    context_.tables.repeats.slack(slack_in_use * context_.settings.repeat_slack / all);
 }
 
 void peer_exchange::tick_as_holder()
@@ -230,7 +234,6 @@
     details.wall_offset = context_.clock.own_offset().value_or(std::chrono::milliseconds{0});
     details.counted_until = context_.clock.true_time().time_since_epoch();
     details.usage = context_.tables.usage.of({report.id, report.life});
-    details.loads = context_.tables.loads.loads();
     return report;
 }
 
--- a/tests/unit/attempt_policy_test.cpp
+++ b/tests/unit/attempt_policy_test.cpp
@@ -126,6 +126,14 @@
     EXPECT_FALSE(budget.take(desk, now));
 }
 
+TEST_F(repeat_budget_test, take_after_the_slack_was_divided_among_more_instances_is_refused)
+{
+    budget.slack(0.5);
+    EXPECT_FALSE(budget.take(desk, now));
+    budget.slack(1);
+    EXPECT_TRUE(budget.take(desk, now));
+}
+
 TEST_F(repeat_budget_test, take_for_another_service_has_a_budget_of_its_own)
 {
     EXPECT_TRUE(budget.take(desk, now));
