--- a/src/programs/ctl.cpp
+++ b/src/programs/ctl.cpp
@@ -89,6 +89,7 @@
             auto reply = co_await client.call(*address, std::move(call), call_limit);
             if (reply && reply.value().status == 200)
                 body = std::move(reply.value().body);
+            io.stop();
         },
         transport::net::detached);
     io.run_for(call_limit * 2);
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -295,7 +295,9 @@
         directory_.take_news(*view.directory);
     context_.tables.quotas.apply(view.from, view.consumed, now());
     context_.clock.agree(view.wall_offset);
-    see(view.live, view.known, view_validity());
+    // Limits that run low are told more often, and count on the next view sooner.
+    bool const pressed = context_.tables.quotas.pressed();
+    see(view.live, view.known, pressed ? pressed_period + 2 * way_margin : view_validity());
 }
 
 } // namespace auburnweir::transport
--- /dev/null
+++ b/tests/integration/ctl_test.cpp
@@ -0,0 +1,73 @@
+#include "support/deployment.hpp"
+#include "support/gateway_deployment.hpp"
+
+#include <cstdio>
+#include <fstream>
+#include <gtest/gtest.h>
+
+namespace auburnweir::tests
+{
+namespace
+{
+
+class ctl_test : public testing::Test
+{
+protected:
+    static finished_program run(std::vector<std::string> words)
+    {
+        words.insert(words.begin(), program("auburnweirctl"));
+        return run_program(std::move(words));
+    }
+
+    static std::string settings_file(std::string const& text)
+    {
+        auto const path = testing::TempDir() + "ctl-settings.ini";
+        std::ofstream(path) << text;
+        return path;
+    }
+};
+
+TEST_F(ctl_test, check_of_settings_with_faults_lists_all_with_their_lines)
+{
+    auto const path = settings_file("[gateway]\nid = a b\nworkers = 0\nnonsense = 1\n");
+    auto const got = run({"check", path});
+    EXPECT_EQ(got.exit_code, 1);
+    EXPECT_NE(got.output.find(":2: gateway.id"), std::string::npos);
+    EXPECT_NE(got.output.find(":3: gateway.workers"), std::string::npos);
+    EXPECT_NE(got.output.find(":4: gateway.nonsense"), std::string::npos);
+    EXPECT_NE(got.output.find("gateway.store: key is missing"), std::string::npos);
+}
+
+TEST_F(ctl_test, check_with_json_gives_findings_as_objects)
+{
+    auto const path = settings_file("[gateway]\nworkers = 0\n");
+    auto const got = run({"-j", "check", path});
+    auto const body = json::parse(got.output, nullptr, false);
+    ASSERT_TRUE(body.is_object());
+    EXPECT_EQ(body["findings"][0]["line"], 2);
+}
+
+TEST_F(ctl_test, unknown_command_is_a_usage_error)
+{
+    EXPECT_EQ(run({"dance"}).exit_code, 2);
+    EXPECT_EQ(run({"status"}).exit_code, 2);
+}
+
+TEST_F(ctl_test, show_of_a_silent_address_fails)
+{
+    EXPECT_EQ(run({"--at", "127.0.0.1:1", "show"}).exit_code, 1);
+}
+
+TEST_F(ctl_test, commands_at_a_gateway_show_what_it_knows)
+{
+    gateway_deployment system{gateway_plan{}};
+    auto const at = "127.0.0.1:" + std::to_string(system.gateway(0).port("metrics"));
+    EXPECT_NE(run({"--at", at, "show"}).output.find("gateway-1"), std::string::npos);
+    EXPECT_NE(run({"--at", at, "status", "desk"}).output.find("backend-2"), std::string::npos);
+    EXPECT_EQ(run({"--at", at, "status", "nothing"}).exit_code, 1);
+    EXPECT_NE(run({"--at", at, "counters"}).output.find("auburnweir_refusals"), std::string::npos);
+    EXPECT_EQ(run({"--at", at, "-j", "nodes"}).exit_code, 0);
+}
+
+} // namespace
+} // namespace auburnweir::tests
