--- a/src/coordination/fleet_planner.cpp
+++ b/src/coordination/fleet_planner.cpp
@@ -27,6 +27,7 @@
         priced.emplace_back(price, domain);
     std::sort(priced.begin(), priced.end());
     std::vector<failure_domain_id> result;
+    result.reserve(priced.size());
     for (auto& [price, domain] : priced)
         result.push_back(std::move(domain));
     return result;
--- a/src/protocol/metrics_text.cpp
+++ b/src/protocol/metrics_text.cpp
@@ -53,7 +53,8 @@
         total += histogram.count(i);
         bool const last = i + 1 == state::latency_classes;
         auto const bound = last ? "+Inf" : std::to_string(state::latency_class_bound_seconds(i));
-        out += full + "_bucket{le=\"" + bound + "\"} " + std::to_string(total) + "\n";
+        out.append(full).append("_bucket{le=\"").append(bound).append("\"} ");
+        out.append(std::to_string(total)).append("\n");
     }
     out += full + "_sum " + std::to_string(histogram.sum_seconds()) + "\n";
     out += full + "_count " + std::to_string(total) + "\n";
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -36,9 +36,6 @@
 
 constexpr state::duration retry_when_stopping = std::chrono::milliseconds{50};
 
-/// Part of a freshness bound that is kept in hand for the way from the check to the server.
-constexpr state::duration freshness_margin = std::chrono::milliseconds{400};
-
 constexpr int first_error_status = 500;
 constexpr int status_too_many = 429;
 constexpr int status_unavailable = 503;
@@ -100,6 +97,7 @@
 bool forwarder::admit()
 {
     auto& tables = context_.tables;
+    auto const& settings = context_.settings;
     routes_ = tables.routes.current();
     routes_age_ = tables.routes.age(arrived_);
     if (!routes_)
@@ -116,60 +114,31 @@
     }
     head_ = std::move(*head);
     auto const target = request_.target();
-    std::string_view const path{target.data(), target.size()};
     auto const host = request_[http::field::host];
-    route_ = routes_->find({host.data(), host.size()}, path.substr(0, path.find('?')));
-    if (!route_)
+    auto const decision = coordination::admit_request(
+        {head_,
+         {host.data(), host.size()},
+         {target.data(), target.size()},
+         *routes_,
+         routes_age_,
+         arrived_},
+        {settings.configuration_bound, settings.revocation_bound}, tables.quotas);
+    if (auto const* refused = std::get_if<coordination::request_refused>(&decision))
     {
-        bool const fresh = routes_age_ <= context_.settings.configuration_bound - freshness_margin;
-        if (fresh)
-            refuse(refusal_reason::unknown_route, {}, "");
-        else
-            refuse(refusal_reason::configuration_stale, retry_when_unready, "");
+        route_ = refused->route;
+        refuse(refused->reason, refused->retry_after, "");
         return false;
     }
-    service_ = route_->target_of(head_.id.str());
-    deadline_ = arrived_ + route_->timeout;
-    if (head_.patience)
-        deadline_ = std::min(deadline_, arrived_ + *head_.patience);
+    auto const& admitted = std::get<coordination::request_admitted>(decision);
+    route_ = admitted.route;
+    service_ = admitted.service;
+    organisation_ = admitted.organisation;
+    quota_cost_ = admitted.quota_cost;
+    deadline_ = admitted.deadline;
     progress_.repeat = route_->repeat;
     progress_.most_attempts = route_->most_attempts;
     resume_after_ = head_.resume_after;
-    return admit_key() && admit_quota();
-}
-
-bool forwarder::admit_key()
-{
-    if (!routes_->keys_required())
-        return true;
-    organisation_ = routes_->organisation_of_key(head_.key);
-    bool const needed = !route_->anonymous || organisation_;
-    if (!needed)
-        return true;
-    auto const& settings = context_.settings;
-    if (organisation_ && routes_age_ <= settings.revocation_bound - freshness_margin)
-        return true;
-    if (organisation_)
-        refuse(refusal_reason::configuration_stale, retry_when_unready, "");
-    else if (routes_age_ <= settings.configuration_bound - freshness_margin)
-        refuse(refusal_reason::unauthorised, {}, "");
-    else
-        refuse(refusal_reason::configuration_stale, retry_when_unready, "");
-    return false;
-}
-
-bool forwarder::admit_quota()
-{
-    if (!organisation_)
-        return true;
-    auto const tokens =
-        head_.counted ? head_.prompt + head_.most_output : organisation_->tokens_if_unknown;
-    quota_cost_ = organisation_->in_tokens ? static_cast<double>(tokens.count()) : 1;
-    auto const decision = context_.tables.quotas.ask(*organisation_, quota_cost_, arrived_);
-    auto const* exceeded = std::get_if<coordination::quota_exceeded>(&decision);
-    if (exceeded)
-        refuse(refusal_reason::quota_exceeded, exceeded->retry_after, "");
-    return !exceeded;
+    return true;
 }
 
 net::awaitable<void> forwarder::run()
--- a/src/transport/forwarder.hpp
+++ b/src/transport/forwarder.hpp
@@ -2,6 +2,7 @@
 #define AUBURNWEIR_TRANSPORT_FORWARDER_HPP
 
 #include "coordination/attempt_policy.hpp"
+#include "coordination/request_admission.hpp"
 #include "coordination/server_choice.hpp"
 #include "transport/caller_watch.hpp"
 #include "transport/gateway_context.hpp"
@@ -33,8 +34,6 @@
     };
 
     bool admit();
-    bool admit_key();
-    bool admit_quota();
     net::awaitable<void> attempts();
     net::awaitable<void> attempt(state::server_view const& server);
     net::awaitable<void> take_answer(state::server_view const& server, http_stream answer);
