Take dropped history for what it is, not for an outage of the store

Change: only a store that fails or refuses counts as away. Measured: server_that_left_while_the_history_was_dropped failed before and passes now.

--- a/src/transport/store_watch.cpp
+++ b/src/transport/store_watch.cpp
@@ -141,7 +141,9 @@
         else
         {
             whole = whole || got.error() == store_fault::history_dropped;
-            directory_.note_store_fault();
+            // Dropped history is no outage: what the next read does not list is gone.
+            if (got.error() != store_fault::history_dropped)
+                directory_.note_store_fault();
             note(directory_reachable_, "directory", got.error());
         }
         co_await sleep_for(io_, got ? settings.directory_period : pause_after_fault);
--- a/tests/integration/gateway_forward_test.cpp
+++ b/tests/integration/gateway_forward_test.cpp
@@ -167,6 +167,15 @@
         EXPECT_EQ(system.send("/safe/x", "d" + std::to_string(i)).parsed()["server"], "backend-2");
 }
 
+TEST_F(gateway_forward_test, server_that_left_while_the_history_was_dropped_gets_no_more_requests)
+{
+    system.unlist_backend(0);
+    gateway_deployment::control(system.store(), {{"drop_history", true}});
+    std::this_thread::sleep_for(std::chrono::milliseconds{1200});
+    for (int i = 0; i < 6; ++i)
+        EXPECT_EQ(system.send("/safe/x", "h" + std::to_string(i)).parsed()["server"], "backend-2");
+}
+
 TEST_F(gateway_forward_test, unreadable_row_of_the_directory_changes_nothing)
 {
     json const row{{"table", "servers"}, {"key", "foreign"}, {"value", "{\"state\":7"}};
