Withhold the target of a version move; keep half of the overrun of limits in hand

Change: while the old version has servers the new one gets no requests; buckets fill by 0.95 of the rate.

--- a/src/coordination/shared_quota.cpp
+++ b/src/coordination/shared_quota.cpp
@@ -26,7 +26,7 @@
         return quota_granted{};
     state::ranked_lock lock(mutex_);
     auto& b = buckets_[quota.id];
-    b.rate = quota.rate_per_second;
+    b.rate = used_part_ * quota.rate_per_second;
     b.capacity = std::max(quota.burst, quota.rate_per_second);
     if (!b.begun)
     {
--- a/src/coordination/shared_quota.hpp
+++ b/src/coordination/shared_quota.hpp
@@ -34,6 +34,13 @@
 class shared_quota
 {
 public:
+    /// @param used_part  of each limit's rate that buckets fill by; the rest covers grants that
+    ///                   cross the news of others
+    explicit shared_quota(double used_part = 1)
+        : used_part_(used_part)
+    {
+    }
+
     /// Asks for `cost` units of an organisation's limit.
     quota_decision ask(state::organisation_quota const& quota, double cost, state::time_point now);
 
@@ -75,6 +82,7 @@
     void fill(bucket& b, state::time_point now) const;
     double part(state::time_point now) const;
 
+    double used_part_;
     mutable state::ranked_mutex mutex_{state::lock_rank::quota};
     double part_ = 0;
     double alone_ = 0;
--- a/src/state/lock_rank.hpp
+++ b/src/state/lock_rank.hpp
@@ -14,6 +14,7 @@
     admission = 20,
     subset_cache = 25,
     backend_table = 30,
+    version_moves = 33,
     directory_log = 35,
     prefix_index = 40,
     retry_budget = 50,
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -173,7 +173,8 @@
     while (!done_ && !cancel_->cancelled())
     {
         auto& servers = context_.tables.servers;
-        auto const usable = servers.usable(service_, now());
+        auto usable = servers.usable(service_, now());
+        context_.tables.moves.withhold(service_, usable);
         coordination::choice_request wanted;
         wanted.home = context_.settings.failure_domain;
         wanted.tried = tried_;
--- a/src/transport/gateway_tables.hpp
+++ b/src/transport/gateway_tables.hpp
@@ -8,6 +8,7 @@
 #include "state/directory_log.hpp"
 #include "state/instance_report_table.hpp"
 #include "state/latency_histogram.hpp"
+#include "state/move_table.hpp"
 #include "state/route_table.hpp"
 #include "state/server_table.hpp"
 #include "state/usage_table.hpp"
@@ -19,11 +20,15 @@
 struct gateway_tables
 {
     explicit gateway_tables(protocol::gateway_settings const& settings)
-        : repeats(repeat_limits_of(settings))
+        : quotas(quota_used_part)
+        , repeats(repeat_limits_of(settings))
         , usage(usage_windows_kept)
     {
     }
 
+    /// Half of the tenth by which a limit may be overrun is kept for grants that cross.
+    static constexpr double quota_used_part = 0.95;
+
     /// More than are ever due at once, with the usual window and delay.
     static constexpr std::size_t usage_windows_kept = 12;
 
@@ -36,6 +41,7 @@
     state::route_table routes;
     state::server_table servers;
     state::directory_log directory;
+    state::move_table moves;
     coordination::shared_quota quotas;
     coordination::repeat_budget repeats;
     state::usage_table usage;
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -76,6 +76,9 @@
         {e::configuration_taken, l::info, "configuration_taken", "a service text is in force"},
         {e::configuration_refused, l::error, "configuration_refused",
          "a service text has findings and was not taken"},
+        {e::version_withheld, l::info, "version_withheld",
+         "a version move was ordered; its target gets no requests while the old version has "
+         "servers"},
         {e::platform_unreachable, l::warning, "platform_unreachable",
          "a call to the platform failed; the last known lists stay in force"},
         {e::platform_reachable, l::info, "platform_reachable", "the platform answers again"},
--- a/src/transport/log.hpp
+++ b/src/transport/log.hpp
@@ -24,6 +24,7 @@
     log_lines_dropped = 1009,
     configuration_taken = 1101,
     configuration_refused = 1102,
+    version_withheld = 1103,
     platform_unreachable = 1201,
     platform_reachable = 1202,
     store_lost = 1203,
--- a/src/transport/store_watch.cpp
+++ b/src/transport/store_watch.cpp
@@ -84,9 +84,23 @@
 
 void store_watch::take_operator_rows(row_listing const& listing)
 {
+    auto const& format = context_.ports.format;
     for (auto const& row : listing.rows)
-        if (row.key == context_.ports.format.configuration_key() && !row.removed)
+    {
+        if (row.removed)
+            continue;
+        if (row.key == format.configuration_key())
             take_configuration(row.value);
+        else if (auto const move = format.move_order(row.key, row.value))
+            take_move(*move);
+    }
+}
+
+void store_watch::take_move(ordered_move const& move)
+{
+    if (context_.tables.moves.order(move.service, move.target))
+        log(log_event::version_withheld,
+            {{"service", move.service.str()}, {"version", move.target.str()}});
 }
 
 void store_watch::take_configuration(std::string const& text)
--- a/src/transport/store_watch.hpp
+++ b/src/transport/store_watch.hpp
@@ -21,6 +21,7 @@
     net::awaitable<void> watch_configuration();
     net::awaitable<void> watch_directory();
     void take_operator_rows(row_listing const& listing);
+    void take_move(ordered_move const& move);
     void take_configuration(std::string const& text);
     void note(bool& reachable, std::string_view what, std::optional<store_fault> fault);
 
--- a/tests/integration/gateway_forward_test.cpp
+++ b/tests/integration/gateway_forward_test.cpp
@@ -176,6 +176,17 @@
         EXPECT_EQ(system.send("/safe/x", "h" + std::to_string(i)).parsed()["server"], "backend-2");
 }
 
+TEST_F(gateway_forward_test, version_that_a_service_is_moved_to_gets_no_requests_yet)
+{
+    json const order{{"service", "desk"}, {"target", "v2"}, {"durationS", 20}};
+    json const row{{"table", "op"}, {"key", "rollout/desk"}, {"value", order.dump()}};
+    gateway_deployment::control(system.store(), {{"put", json::array({row})}});
+    system.list_backend(0, "ready", "v2");
+    std::this_thread::sleep_for(std::chrono::milliseconds{1200});
+    for (int i = 0; i < 6; ++i)
+        EXPECT_EQ(system.send("/safe/x", "v" + std::to_string(i)).parsed()["server"], "backend-2");
+}
+
 TEST_F(gateway_forward_test, unreadable_row_of_the_directory_changes_nothing)
 {
     json const row{{"table", "servers"}, {"key", "foreign"}, {"value", "{\"state\":7"}};
--- a/tests/support/gateway_deployment.cpp
+++ b/tests/support/gateway_deployment.cpp
@@ -157,13 +157,14 @@
     control(*store_, {{"put", json::array({row})}});
 }
 
-void gateway_deployment::list_backend(int index, std::string const& condition)
+void gateway_deployment::list_backend(
+    int index, std::string const& condition, std::string const& version)
 {
     json const entry{
         {"service", "desk"},
         {"address", "127.0.0.1:" + std::to_string(backend(index).port())},
         {"zone", domain(index)},
-        {"version", "v1"},
+        {"version", version},
         {"slots", 8},
         {"state", condition},
         {"coldRemainingMs", 0},
--- a/tests/support/gateway_deployment.hpp
+++ b/tests/support/gateway_deployment.hpp
@@ -57,7 +57,8 @@
     void configure(std::function<void(json&)> const& change = {});
 
     /// Writes or removes a backend's row in the directory.
-    void list_backend(int index, std::string const& condition = "ready");
+    void list_backend(
+        int index, std::string const& condition = "ready", std::string const& version = "v1");
     void unlist_backend(int index);
 
     /// Calls of the duties that the platform got.
