--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -2,7 +2,6 @@
 
 #include "coordination/ejection_policy.hpp"
 #include "state/overloaded.hpp"
-#include "transport/event_splitter.hpp"
 #include "transport/log.hpp"
 
 #include <charconv>
@@ -27,9 +26,6 @@
 /// a server that closes one at that moment leaves open whether it took the request.
 constexpr state::duration longest_idle_at_most_once = std::chrono::milliseconds{1000};
 
-/// A resumable stream that is silent for longer goes on elsewhere.
-constexpr state::duration longest_silence = std::chrono::milliseconds{1500};
-
 /// When a refused caller may come back, by cause.
 constexpr state::duration retry_when_full = std::chrono::milliseconds{400};
 constexpr state::duration retry_when_unready = std::chrono::milliseconds{700};
@@ -138,6 +134,8 @@
     progress_.repeat = route_->repeat;
     progress_.most_attempts = route_->most_attempts;
     resume_after_ = head_.resume_after;
+    bool const resumable = route_->repeat == state::repeat_rule::resumable;
+    relay_.emplace(context_, writer_, relayed_request{arrived_, deadline_, resumable, cancel_});
     return true;
 }
 
@@ -309,9 +307,12 @@
     bool const streamed = route_->streaming && is_success(status);
     auto end = relay_end::broken;
     if (streamed)
-        end = co_await relay_stream(answer);
+        end = co_await relay_->relay_stream(answer);
     else
-        end = co_await relay_whole(answer);
+        end = co_await relay_->relay_whole(answer);
+    progress_.answer_begun = relay_->begun();
+    if (!relay_->last_event().empty())
+        resume_after_ = relay_->last_event();
     switch (end)
     {
     case relay_end::whole:
@@ -349,66 +350,6 @@
     }
 }
 
-net::awaitable<forwarder::relay_end> forwarder::relay_whole(http_stream& answer)
-{
-    auto body = co_await answer.read_rest(most_held_answer, time_left());
-    if (cancel_->cancelled())
-        co_return relay_end::caller_gone;
-    if (!body)
-        co_return body.error() == http_fault::timed_out ? relay_end::timed_out : relay_end::broken;
-    caller_reply reply;
-    reply.status = answer.status();
-    reply.content_type.clear();
-    reply.headers = context_.ports.dialect.encode_answer(answer.headers());
-    reply.body = std::move(body.value());
-    context_.tables.first_part.record(now() - arrived_);
-    bool const taken = co_await writer_.send(std::move(reply));
-    co_return taken ? relay_end::whole : relay_end::caller_gone;
-}
-
-net::awaitable<forwarder::relay_end> forwarder::relay_stream(http_stream& answer)
-{
-    event_splitter events;
-    bool const resumable = route_->repeat == state::repeat_rule::resumable;
-    for (;;)
-    {
-        auto const left = time_left();
-        if (left <= state::duration::zero())
-            co_return relay_end::timed_out;
-        auto const limit = resumable ? std::min(left, longest_silence) : left;
-        auto const part = co_await answer.read(limit);
-        if (cancel_->cancelled())
-            co_return relay_end::caller_gone;
-        if (!part)
-        {
-            bool const late = time_left() <= state::duration::zero();
-            co_return late ? relay_end::timed_out : relay_end::broken;
-        }
-        bool const ended = part.value().empty();
-        events.feed(part.value());
-        auto ready = events.take_whole();
-        if (ended)
-            ready += events.take_rest();
-        if (!events.last_id().empty())
-            resume_after_ = events.last_id();
-        if (!progress_.answer_begun && (!ready.empty() || ended))
-        {
-            caller_reply head;
-            head.status = answer.status();
-            head.content_type.clear();
-            head.headers = context_.ports.dialect.encode_answer(answer.headers());
-            progress_.answer_begun = true;
-            context_.tables.first_part.record(now() - arrived_);
-            if (!co_await writer_.begin(std::move(head)))
-                co_return relay_end::caller_gone;
-        }
-        if (!ready.empty() && !co_await writer_.send_part(std::move(ready)))
-            co_return relay_end::caller_gone;
-        if (ended)
-            co_return co_await writer_.end() ? relay_end::whole : relay_end::caller_gone;
-    }
-}
-
 net::awaitable<void> forwarder::decide(
     state::server_view const& server, coordination::failed_attempt_kind failed)
 {
--- a/src/transport/forwarder.hpp
+++ b/src/transport/forwarder.hpp
@@ -4,6 +4,7 @@
 #include "coordination/attempt_policy.hpp"
 #include "coordination/request_admission.hpp"
 #include "coordination/server_choice.hpp"
+#include "transport/answer_relay.hpp"
 #include "transport/caller_watch.hpp"
 #include "transport/gateway_context.hpp"
 #include "transport/reply_writer.hpp"
@@ -24,21 +25,10 @@
     net::awaitable<void> run();
 
 private:
-    /// How the relay of an answer ended.
-    enum class relay_end
-    {
-        whole,     ///< the caller has the whole answer
-        broken,    ///< the server's answer ended early or was silent for too long
-        timed_out, ///< no time is left
-        caller_gone
-    };
-
     bool admit();
     net::awaitable<void> attempts();
     net::awaitable<void> attempt(state::server_view const& server);
     net::awaitable<void> take_answer(state::server_view const& server, http_stream answer);
-    net::awaitable<relay_end> relay_stream(http_stream& answer);
-    net::awaitable<relay_end> relay_whole(http_stream& answer);
     net::awaitable<void> decide(
         state::server_view const& server, coordination::failed_attempt_kind failed);
     net::awaitable<void> finish_not_run(state::refusal_reason reason);
@@ -71,6 +61,7 @@
     std::shared_ptr<call_cancel> cancel_ = std::make_shared<call_cancel>();
     std::set<state::backend_id> tried_;
     coordination::attempt_progress progress_;
+    std::optional<answer_relay> relay_; ///< once the request is admitted
     std::string resume_after_;
     bool done_ = false;
     bool caller_left_ = false;
