Use the field's terms in the reports between gateways; drop unused port methods

Cause: some names were colloquial (tell, news, pressed), and the port named the status of version moves, which nobody writes yet. Change: renamed; unused methods removed. No change of behaviour.

--- a/src/coordination/shared_quota.cpp
+++ b/src/coordination/shared_quota.cpp
@@ -14,7 +14,7 @@
 /// Part of its capacity below which a bucket runs low.
 constexpr double low_part = 0.75;
 
-/// Shortest wait that a refused caller is told.
+/// Shortest wait that a refused caller is reported.
 constexpr state::duration least_wait = std::chrono::milliseconds{100};
 
 } // namespace
@@ -83,16 +83,16 @@
     for (auto const& [organisation, units] : consumed)
     {
         auto& before = known[organisation];
-        auto const news = units - before;
+        auto const increase = units - before;
         before = units;
         auto const it = buckets_.find(organisation);
         // What a newly seen instance granted before says nothing of the present, and a bucket that
         // has not begun will begin low.
         if (first || it == buckets_.end() || !it->second.begun)
             continue;
-        // Filled first: what flowed over a full bucket before the news does not pay for it.
+        // Filled first: tokens that overflowed a full bucket earlier must not offset this increase.
         fill(it->second, now);
-        it->second.level -= news;
+        it->second.level -= increase;
     }
 }
 
@@ -104,20 +104,20 @@
     alone_ = alone;
 }
 
-state::consumed_units shared_quota::tell_consumed()
+state::consumed_units shared_quota::report_consumed()
 {
     state::ranked_lock lock(mutex_);
     state::consumed_units result;
     for (auto& [organisation, b] : buckets_)
     {
-        b.told = b.consumed;
+        b.reported = b.consumed;
         if (b.consumed != 0)
             result[organisation] = b.consumed;
     }
     return result;
 }
 
-bool shared_quota::pressed() const
+bool shared_quota::runs_low() const
 {
     state::ranked_lock lock(mutex_);
     return std::any_of(
@@ -125,7 +125,7 @@
         [](auto const& entry)
         {
             auto const& b = entry.second;
-            return b.consumed != b.told && b.level < low_part * b.capacity;
+            return b.consumed != b.reported && b.level < low_part * b.capacity;
         });
 }
 
--- a/src/coordination/shared_quota.hpp
+++ b/src/coordination/shared_quota.hpp
@@ -27,7 +27,7 @@
 /// Limits of organisations over all instances.
 ///
 /// Each instance keeps a token bucket of the whole limit and takes from it what it grants and what
-/// the others say that they granted. What is granted twice before the news arrives becomes a debt
+/// the others say that they granted. What is granted twice before the update arrives becomes a debt
 /// that the bucket repays. An instance that does not see all others refills only by the part of
 /// the deployment that it sees, so that parts cut off from each other together stay within the
 /// limit. Thread-safe; takes `lock_rank::quota`. Never reads a clock.
@@ -35,7 +35,7 @@
 {
 public:
     /// @param used_part  of each limit's rate that buckets fill by; the rest covers grants that
-    ///                   cross the news of others
+    ///                   cross on their way to other instances
     explicit shared_quota(double used_part = 1)
         : used_part_(used_part)
     {
@@ -57,15 +57,15 @@
     /// @param alone  the part of this instance by itself
     void see(double part, state::time_point until, double alone);
 
-    /// What this instance has granted since it began; counts as told to the others.
-    state::consumed_units tell_consumed();
+    /// What this instance has granted since it began; from now on it counts as reported.
+    state::consumed_units report_consumed();
 
     /// What this instance has granted since it began.
     state::consumed_units consumed() const;
 
     /// True when the others should hear at once: a bucket runs low and they do not know all that
     /// this instance took from it.
-    bool pressed() const;
+    bool runs_low() const;
 
 private:
     struct bucket
@@ -76,7 +76,7 @@
         double rate = 0; ///< of the whole limit, units a second
         double capacity = 0;
         double consumed = 0; ///< by this instance
-        double told = 0;     ///< the part of it that the others know
+        double reported = 0; ///< the part of it that the others know
     };
 
     void fill(bucket& b, state::time_point now) const;
--- a/src/coordination/spread.hpp
+++ b/src/coordination/spread.hpp
@@ -9,7 +9,7 @@
 namespace auburnweir::coordination
 {
 
-/// Instances that are told of news when it is first heard. With each telling eight others once,
+/// Instances that are reported of news when it is first heard. With each telling eight others once,
 /// the share that stays untold is about e^-8.
 constexpr std::size_t spread_fanout = 8;
 
--- a/src/protocol/instance_report_codec.cpp
+++ b/src/protocol/instance_report_codec.cpp
@@ -44,34 +44,34 @@
     return s;
 }
 
-json encode_news(state::directory_news const& news)
+json encode_update(state::directory_update const& update)
 {
     auto listed = json::array();
-    for (auto const& server : news.listed)
+    for (auto const& server : update.listed)
         listed.push_back(encode_server(server));
     auto removed = json::array();
-    for (auto const& id : news.removed)
+    for (auto const& id : update.removed)
         removed.push_back(id.str());
     return json::array(
-        {news.version.count(), news.age.count(), news.whole, std::move(listed),
+        {update.version.count(), update.age.count(), update.whole, std::move(listed),
          std::move(removed)});
 }
 
-state::directory_news read_news(json const& from)
+state::directory_update read_update(json const& from)
 {
     element_reader in(from);
-    state::directory_news news;
-    news.version = state::directory_version{in.number()};
-    news.age = state::duration{in.integer()};
-    news.whole = in.flag();
+    state::directory_update update;
+    update.version = state::directory_version{in.number()};
+    update.age = state::duration{in.integer()};
+    update.whole = in.flag();
     for (auto const& server : in.array())
-        news.listed.push_back(read_server(server));
+        update.listed.push_back(read_server(server));
     for (auto const& id : in.array())
     {
         require(id.is_string(), "id is not text");
-        news.removed.emplace_back(id.get<std::string>());
+        update.removed.emplace_back(id.get<std::string>());
     }
-    return news;
+    return update;
 }
 
 json encode_usage(state::usage_by_window const& usage)
@@ -166,7 +166,7 @@
     out.push_back(view.known);
     out.push_back(view.live);
     out.push_back(encode_consumed(view.consumed));
-    out.push_back(view.directory ? encode_news(*view.directory) : json::array());
+    out.push_back(view.directory ? encode_update(*view.directory) : json::array());
     if (view.wall_offset)
         out.push_back(view.wall_offset->count());
 }
@@ -180,8 +180,8 @@
     view.known = in.number();
     view.live = in.number();
     view.consumed = read_consumed(in.array());
-    if (auto const& news = in.array(); !news.empty())
-        view.directory = read_news(news);
+    if (auto const& update = in.array(); !update.empty())
+        view.directory = read_update(update);
     if (!in.at_end())
         view.wall_offset = std::chrono::milliseconds{in.integer()};
     return view;
--- a/src/state/directory_log.hpp
+++ b/src/state/directory_log.hpp
@@ -14,7 +14,7 @@
 using directory_version = quantity<struct directory_version_unit, std::uint64_t>;
 
 /// What changed in the directory, for an instance that does not read it itself.
-struct directory_news
+struct directory_update
 {
     directory_version version; ///< after these changes
     duration age{0};           ///< since the directory was read
@@ -22,7 +22,7 @@
     std::vector<listed_server> listed;
     std::vector<backend_id> removed;
 
-    friend bool operator==(directory_news const&, directory_news const&) = default;
+    friend bool operator==(directory_update const&, directory_update const&) = default;
 };
 
 /// The directory as this instance last read it, and since when each row is so.
@@ -60,25 +60,25 @@
 
     /// @param known  version that the other instance has; 0: none
     /// @return null before the directory was read
-    std::optional<directory_news> since(directory_version known, time_point now) const
+    std::optional<directory_update> since(directory_version known, time_point now) const
     {
         ranked_lock lock(mutex_);
         if (!read_at_)
             return std::nullopt;
-        directory_news news;
-        news.version = directory_version{last_};
-        news.age = now - *read_at_;
-        news.whole = known.count() == 0;
+        directory_update update;
+        update.version = directory_version{last_};
+        update.age = now - *read_at_;
+        update.whole = known.count() == 0;
         for (auto const& [id, e] : entries_)
         {
             if (e.version <= known.count())
                 continue;
             if (e.server)
-                news.listed.push_back(*e.server);
-            else if (!news.whole)
-                news.removed.push_back(id);
+                update.listed.push_back(*e.server);
+            else if (!update.whole)
+                update.removed.push_back(id);
         }
-        return news;
+        return update;
     }
 
 private:
--- a/src/state/instance_report.hpp
+++ b/src/state/instance_report.hpp
@@ -26,7 +26,7 @@
     friend bool operator==(instance_details const&, instance_details const&) = default;
 };
 
-/// What one instance tells another.
+/// Periodic report of an instance to the holder of the duties.
 struct instance_report
 {
     instance_id id;
@@ -35,7 +35,7 @@
     endpoint peer_address;
     std::uint64_t sequence = 0; ///< grows with each report of a life
     bool stopping = false;
-    directory_version directory{0}; ///< news of the directory that it has; 0: none
+    directory_version directory{0}; ///< last directory update applied; 0: none
     incarnation directory_from{0};  ///< life of the holder that counts them
     consumed_units consumed;
     std::optional<instance_details> details;
--- a/src/state/move_table.hpp
+++ b/src/state/move_table.hpp
@@ -29,7 +29,7 @@
     }
 
     /// Drops servers of the version that the service is moved to, unless there are no others.
-    void withhold(service_id const& service, std::vector<server_view>& servers) const
+    void exclude_target(service_id const& service, std::vector<server_view>& servers) const
     {
         ranked_lock lock(mutex_);
         auto const it = targets_.find(service);
--- a/src/transport/directory_keeper.cpp
+++ b/src/transport/directory_sync.cpp
@@ -1,4 +1,4 @@
-#include "transport/directory_keeper.hpp"
+#include "transport/directory_sync.hpp"
 
 #include "transport/log.hpp"
 
@@ -16,7 +16,7 @@
 
 } // namespace
 
-void directory_keeper::take_rows(row_listing const& listing, bool whole)
+void directory_sync::take_rows(row_listing const& listing, bool whole)
 {
     std::lock_guard lock(mutex_);
     std::set<state::backend_id> listed;
@@ -33,35 +33,35 @@
     context_.tables.directory.confirm(listing.asked);
 }
 
-void directory_keeper::take_news(state::directory_news const& news)
+void directory_sync::apply_update(state::directory_update const& update)
 {
     std::lock_guard lock(mutex_);
-    fed_at_ = now() - news.age;
+    fed_at_ = now() - update.age;
     std::set<state::backend_id> listed;
-    for (auto const& server : news.listed)
+    for (auto const& server : update.listed)
     {
         take_server(server);
         listed.insert(server.id);
     }
-    for (auto const& id : news.removed)
+    for (auto const& id : update.removed)
         drop(id);
-    if (news.whole)
+    if (update.whole)
         drop_all_but(listed);
 }
 
-void directory_keeper::note_store_fault()
+void directory_sync::note_store_fault()
 {
     std::lock_guard lock(mutex_);
     store_failed_at_ = now();
 }
 
-bool directory_keeper::is_fed() const
+bool directory_sync::is_fed() const
 {
     std::lock_guard lock(mutex_);
     return now() - fed_at_ <= longest_feed_age;
 }
 
-void directory_keeper::expire()
+void directory_sync::expire()
 {
     std::lock_guard lock(mutex_);
     for (auto const& gone : context_.tables.servers.expire_missing(now(), relisting_time))
@@ -71,7 +71,7 @@
     }
 }
 
-void directory_keeper::take_row(stored_row const& row)
+void directory_sync::take_row(stored_row const& row)
 {
     auto const listed = context_.ports.format.server(row.key, row.value);
     if (listed)
@@ -80,7 +80,7 @@
         log(log_event::backend_row_unreadable, {{"backend", row.key}});
 }
 
-void directory_keeper::take_server(state::listed_server const& listed)
+void directory_sync::take_server(state::listed_server const& listed)
 {
     context_.tables.directory.listed(listed);
     using change = state::server_table::change;
@@ -96,7 +96,7 @@
          {"reclaimable", listed.reclaimable ? "yes" : "no"}});
 }
 
-void directory_keeper::drop(state::backend_id const& id)
+void directory_sync::drop(state::backend_id const& id)
 {
     bool const store_was_away =
         store_failed_at_ != state::time_point{} && now() - store_failed_at_ < relisting_time;
@@ -107,7 +107,7 @@
     log(log_event::backend_gone, {{"backend", id.str()}, {"why", "not_listed"}});
 }
 
-void directory_keeper::drop_all_but(std::set<state::backend_id> const& listed)
+void directory_sync::drop_all_but(std::set<state::backend_id> const& listed)
 {
     for (auto const& known : context_.tables.servers.names())
         if (!listed.contains(known))
--- a/src/transport/directory_keeper.hpp
+++ b/src/transport/directory_sync.hpp
@@ -1,5 +1,5 @@
-#ifndef AUBURNWEIR_TRANSPORT_DIRECTORY_KEEPER_HPP
-#define AUBURNWEIR_TRANSPORT_DIRECTORY_KEEPER_HPP
+#ifndef AUBURNWEIR_TRANSPORT_DIRECTORY_SYNC_HPP
+#define AUBURNWEIR_TRANSPORT_DIRECTORY_SYNC_HPP
 
 #include "transport/gateway_context.hpp"
 
@@ -9,12 +9,12 @@
 namespace auburnweir::transport
 {
 
-/// Applies what the directory says of backend servers, read here or told by the holder of the
+/// Applies what the directory says of backend servers, read here or reported by the holder of the
 /// duties, and keeps it for others. Thread-safe; its lock is taken before those of the tables.
-class directory_keeper
+class directory_sync
 {
 public:
-    explicit directory_keeper(gateway_context& context)
+    explicit directory_sync(gateway_context& context)
         : context_(context)
     {
     }
@@ -23,7 +23,7 @@
     void take_rows(row_listing const& listing, bool whole);
 
     /// News from the holder of the duties.
-    void take_news(state::directory_news const& news);
+    void apply_update(state::directory_update const& update);
 
     /// The store failed; for a while, servers that it then drops may list themselves again.
     void note_store_fault();
@@ -31,7 +31,7 @@
     /// Forgets servers that have not listed themselves again.
     void expire();
 
-    /// True while the holder's news are fresh enough to do without own reads.
+    /// True while the holder's updates are fresh enough to do without reading the store.
     bool is_fed() const;
 
 private:
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -172,7 +172,7 @@
     {
         auto& servers = context_.tables.servers;
         auto usable = servers.usable(service_, now());
-        context_.tables.moves.withhold(service_, usable);
+        context_.tables.moves.exclude_target(service_, usable);
         coordination::choice_request wanted;
         wanted.home = context_.settings.failure_domain;
         wanted.tried = tried_;
--- a/src/transport/gateway_server.cpp
+++ b/src/transport/gateway_server.cpp
@@ -101,7 +101,7 @@
     owned_ports ports;
     gateway_context context;
     peer_links links;
-    directory_keeper directory;
+    directory_sync directory;
     peer_exchange peers;
     duty_runner duties;
     store_watch watch;
--- a/src/transport/io_limit.hpp
+++ b/src/transport/io_limit.hpp
@@ -11,7 +11,7 @@
 
 /// Interrupts a stream's operation that takes too long, and leaves the stream open.
 ///
-/// The stream's own timeout would close it, so that a caller could not be told, and would arm a
+/// The stream's own timeout would close it, so that a caller could not be reported, and would arm a
 /// timer for each operation. Here one timer serves many operations: it is armed again only when it
 /// fires early.
 class io_limit
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint64_t details_interval = 3;
 
 /// Shortest time between reports, for limits that are nearly used up.
-constexpr state::duration pressed_period = std::chrono::milliseconds{100};
+constexpr state::duration low_report_period = std::chrono::milliseconds{100};
 
 /// Silence after which an instance does not count as live, in report periods.
 constexpr int silent_periods = 5;
@@ -42,8 +42,7 @@
 
 } // namespace
 
-peer_exchange::peer_exchange(
-    gateway_context& context, peer_links& links, directory_keeper& directory)
+peer_exchange::peer_exchange(gateway_context& context, peer_links& links, directory_sync& directory)
     : context_(context)
     , links_(links)
     , directory_(directory)
@@ -55,7 +54,7 @@
     net::co_spawn(context_.workers.at(0).io(), count_instances(), net::detached);
     subscriptions_.push_back(
         context_.timers.every(context_.settings.report_period, [this] { tick(); }));
-    subscriptions_.push_back(context_.timers.every(pressed_period, [this] { tell_if_pressed(); }));
+    subscriptions_.push_back(context_.timers.every(low_report_period, [this] { report_if_low(); }));
 }
 
 net::awaitable<void> peer_exchange::count_instances()
@@ -97,8 +96,8 @@
 void peer_exchange::follow(state::instance_id holder, state::endpoint address)
 {
     std::lock_guard lock(mutex_);
-    bool const news = followed_.id != holder || followed_.peer_address != address;
-    if (!news)
+    bool const changed = followed_.id != holder || followed_.peer_address != address;
+    if (!changed)
         return;
     followed_ = {};
     followed_.id = std::move(holder);
@@ -200,7 +199,7 @@
     links_.send(to, own_report(ticks_ % details_interval == 0));
 }
 
-void peer_exchange::tell_if_pressed()
+void peer_exchange::report_if_low()
 {
     state::instance to;
     {
@@ -208,7 +207,7 @@
         to = followed_;
     }
     bool const led_by_other = !to.id.empty() && to.id != context_.settings.id;
-    if (led_by_other && context_.tables.quotas.pressed())
+    if (led_by_other && context_.tables.quotas.runs_low())
         links_.send(to, own_report(false));
 }
 
@@ -227,7 +226,7 @@
             report.directory = fed_version_;
         report.directory_from = fed_by_.life;
     }
-    report.consumed = context_.tables.quotas.tell_consumed();
+    report.consumed = context_.tables.quotas.report_consumed();
     if (!with_details)
         return report;
     auto& details = report.details.emplace();
@@ -292,12 +291,12 @@
         }
     }
     if (view.directory)
-        directory_.take_news(*view.directory);
+        directory_.apply_update(*view.directory);
     context_.tables.quotas.apply(view.from, view.consumed, now());
     context_.clock.agree(view.wall_offset);
-    // Limits that run low are told more often, and count on the next view sooner.
-    bool const pressed = context_.tables.quotas.pressed();
-    see(view.live, view.known, pressed ? pressed_period + 2 * way_margin : view_validity());
+    // Reports come more often while a limit runs low, so a view is valid for a shorter time.
+    bool const low = context_.tables.quotas.runs_low();
+    see(view.live, view.known, low ? low_report_period + 2 * way_margin : view_validity());
 }
 
 } // namespace auburnweir::transport
--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -1,7 +1,7 @@
 #ifndef AUBURNWEIR_TRANSPORT_PEER_EXCHANGE_HPP
 #define AUBURNWEIR_TRANSPORT_PEER_EXCHANGE_HPP
 
-#include "transport/directory_keeper.hpp"
+#include "transport/directory_sync.hpp"
 #include "transport/peer_links.hpp"
 
 namespace auburnweir::transport
@@ -16,7 +16,7 @@
 class peer_exchange
 {
 public:
-    peer_exchange(gateway_context& context, peer_links& links, directory_keeper& directory);
+    peer_exchange(gateway_context& context, peer_links& links, directory_sync& directory);
 
     void start();
 
@@ -42,7 +42,7 @@
 private:
     net::awaitable<void> count_instances();
     void tick();
-    void tell_if_pressed();
+    void report_if_low();
     void see(std::uint64_t live, std::uint64_t known, state::duration valid);
     state::duration view_validity() const;
     void tick_as_holder();
@@ -54,7 +54,7 @@
 
     gateway_context& context_;
     peer_links& links_;
-    directory_keeper& directory_;
+    directory_sync& directory_;
     std::vector<timer_subscription> subscriptions_;
     std::uint64_t ticks_ = 0;
     std::uint64_t sequence_ = 0;
@@ -62,7 +62,7 @@
     mutable std::mutex mutex_;
     state::instance followed_; ///< empty when none is known
     state::time_point answered_at_{};
-    state::usage_writer fed_by_;              ///< whose news of the directory were taken last
+    state::usage_writer fed_by_;              ///< holder whose directory updates were applied last
     state::directory_version fed_version_{0}; ///< in its count
     std::uint64_t known_ = 0;                 ///< instances, by the last view or by their rows
     std::uint64_t live_ = 1;                  ///< where this instance holds the duties
--- a/src/transport/platform_format.hpp
+++ b/src/transport/platform_format.hpp
@@ -4,7 +4,6 @@
 #include "state/finding.hpp"
 #include "state/route_set.hpp"
 #include "state/server_table.hpp"
-#include "state/version_move.hpp"
 #include "transport/control_store.hpp"
 
 namespace auburnweir::transport
@@ -39,11 +38,6 @@
     /// The move that a row of the operators' table orders; null when it orders none.
     virtual std::optional<ordered_move> move_order(
         std::string const& key, std::string const& text) const = 0;
-
-    virtual table_name status_table() const = 0;
-    virtual std::string move_status_key(state::service_id const& service) const = 0;
-    virtual std::string move_status(
-        ordered_move const& move, state::move_state const& current) const = 0;
 };
 
 } // namespace auburnweir::transport
--- a/src/transport/store_watch.cpp
+++ b/src/transport/store_watch.cpp
@@ -14,7 +14,7 @@
 /// Pause after a failed call to the store; short against the bounds of freshness.
 constexpr state::duration pause_after_fault = std::chrono::milliseconds{150};
 
-/// Pause between looks at whether the holder's news still come.
+/// Interval between checks of whether the holder's updates still arrive.
 constexpr state::duration fed_pause = std::chrono::milliseconds{200};
 
 std::string text_of(state::duration d)
@@ -24,7 +24,7 @@
 
 } // namespace
 
-store_watch::store_watch(gateway_context& context, directory_keeper& directory)
+store_watch::store_watch(gateway_context& context, directory_sync& directory)
     : context_(context)
     , directory_(directory)
     , io_(context.workers.at(0).io())
--- a/src/transport/store_watch.hpp
+++ b/src/transport/store_watch.hpp
@@ -1,7 +1,7 @@
 #ifndef AUBURNWEIR_TRANSPORT_STORE_WATCH_HPP
 #define AUBURNWEIR_TRANSPORT_STORE_WATCH_HPP
 
-#include "transport/directory_keeper.hpp"
+#include "transport/directory_sync.hpp"
 
 namespace auburnweir::transport
 {
@@ -10,7 +10,7 @@
 class store_watch
 {
 public:
-    store_watch(gateway_context& context, directory_keeper& directory);
+    store_watch(gateway_context& context, directory_sync& directory);
 
     void start();
 
@@ -26,7 +26,7 @@
     void note(bool& reachable, std::string_view what, std::optional<store_fault> fault);
 
     gateway_context& context_;
-    directory_keeper& directory_;
+    directory_sync& directory_;
     net::io_context& io_;
     bool have_routes_ = false;
     bool have_servers_ = false;
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -83,9 +83,9 @@
 
 TEST_F(placement_test, spread_tells_others_but_not_itself)
 {
-    auto const told = spread_targets(live[0].id, live, random);
+    auto const reported = spread_targets(live[0].id, live, random);
     std::set<std::string> names;
-    for (auto const& i : told)
+    for (auto const& i : reported)
         names.insert(i.id.str());
     EXPECT_EQ(names.size(), spread_fanout);
     EXPECT_FALSE(names.contains(live[0].id.str()));
@@ -96,7 +96,7 @@
     std::vector<instance> fleet(360);
     for (std::size_t i = 0; i < fleet.size(); ++i)
         fleet[i].id = instance_id{std::to_string(i)};
-    std::set<std::string> told{"0"};
+    std::set<std::string> reported{"0"};
     std::vector<std::string> fresh{"0"};
     int rounds = 0;
     for (; !fresh.empty(); ++rounds)
@@ -104,11 +104,11 @@
         std::vector<std::string> next;
         for (auto const& who : fresh)
             for (auto const& i : spread_targets(instance_id{who}, fleet, random))
-                if (told.insert(i.id.str()).second)
+                if (reported.insert(i.id.str()).second)
                     next.push_back(i.id.str());
         fresh = next;
     }
-    EXPECT_GE(told.size(), 356U);
+    EXPECT_GE(reported.size(), 356U);
     EXPECT_LE(rounds, 8);
 }
 
--- a/tests/unit/shared_quota_test.cpp
+++ b/tests/unit/shared_quota_test.cpp
@@ -9,7 +9,7 @@
 
 using namespace std::chrono_literals;
 
-/// Several instances with one organisation's limit, and the news between them.
+/// Several instances with one organisation's limit, and the reports between them.
 class shared_quota_test : public testing::Test
 {
 protected:
@@ -106,9 +106,9 @@
             if (asks && granted(all[i], 60))
                 sum += 60;
             bool const regular = (steps + 3 * i) % 30 == 0;
-            bool const early = (steps + i) % 10 == 0 && all[i].pressed();
+            bool const early = (steps + i) % 10 == 0 && all[i].runs_low();
             if (regular || early)
-                under_way[now + way].emplace_back(i, all[i].tell_consumed());
+                under_way[now + way].emplace_back(i, all[i].report_consumed());
         }
         for (auto const& [from, consumed] : under_way[now])
             for (int to = 0; to < 9; ++to)
