Take the usage window and the stop's grace from the deployment's bounds

Cause: both were constants of the settings in milliseconds, while the bounds give seconds; another deployment's window would have been reported under wrong numbers. Change: settings in seconds, rendered from the bounds; an unused setting is removed.

--- a/src/protocol/gateway_settings.cpp
+++ b/src/protocol/gateway_settings.cpp
@@ -48,28 +48,21 @@
         number_option<double, settings>(
             "repeat_slack", "repeated sends beyond the ratio in a window, over all instances", "50",
             0.0, 100000.0, [](settings& s, double v) { s.repeat_slack = v; }),
-        number_option<double, settings>(
+        seconds_option(
             "repeat_window_s", "window of the limit on repeated sends", "10", 0.1, 3600.0,
-            [](settings& s, double v)
-            {
-                s.repeat_window =
-                    std::chrono::duration_cast<state::duration>(std::chrono::duration<double>(v));
-            }),
+            &settings::repeat_window),
         milliseconds_option(
             "revocation_bound_ms", "time after which a withdrawn key may run nothing", "5000", 100,
             600000, &settings::revocation_bound),
         milliseconds_option(
             "configuration_bound_ms", "time in which a new configuration is in force", "3000", 100,
             600000, &settings::configuration_bound),
-        milliseconds_option(
-            "stop_grace_ms", "time between the order to stop and the kill", "8000", 0, 600000,
+        seconds_option(
+            "stop_grace_s", "time between the order to stop and the kill", "8", 0.0, 600.0,
             &settings::stop_grace),
-        milliseconds_option(
-            "usage_window_ms", "length of a window of reported usage", "5000", 100, 3600000,
+        seconds_option(
+            "usage_window_s", "length of a window of reported usage", "5", 0.1, 3600.0,
             &settings::usage_window),
-        milliseconds_option(
-            "usage_delay_ms", "time after a window's end at which its report is due", "10000", 100,
-            3600000, &settings::usage_delay),
         milliseconds_option(
             "lease_bound_ms", "time in which two holders of a duty must not alternate", "3000", 100,
             600000, &settings::lease_bound),
--- a/src/protocol/gateway_settings.hpp
+++ b/src/protocol/gateway_settings.hpp
@@ -37,7 +37,6 @@
     state::duration configuration_bound{0};
     state::duration stop_grace{0};
     state::duration usage_window{0};
-    state::duration usage_delay{0};
     state::duration lease_bound{0};
     state::duration store_timeout{0};
     state::duration watch_wait{0};
--- a/src/protocol/option_kinds.hpp
+++ b/src/protocol/option_kinds.hpp
@@ -18,6 +18,20 @@
         [member](Settings& s, std::int64_t v) { s.*member = std::chrono::milliseconds{v}; });
 }
 
+/// Option that holds a duration in seconds, with a fraction.
+template <class Settings>
+option<Settings> seconds_option(
+    std::string key, std::string description, std::string default_value, double low, double high,
+    state::duration Settings::*member)
+{
+    return number_option<double, Settings>(
+        std::move(key), std::move(description), std::move(default_value), low, high,
+        [member](Settings& s, double v) {
+            s.*member =
+                std::chrono::duration_cast<state::duration>(std::chrono::duration<double>(v));
+        });
+}
+
 /// Option that holds a whole number.
 template <class Settings>
 option<Settings> count_option(
--- a/tests/integration/gateway_shared_test.cpp
+++ b/tests/integration/gateway_shared_test.cpp
@@ -30,7 +30,7 @@
         p.gateways = 3;
         p.organisations =
             json::array({organisation("acme", "key-1", 40), organisation("other", "key-2", 0)});
-        p.settings = {{"usage_window_ms", "1000"}};
+        p.settings = {{"usage_window_s", "1"}};
         return p;
     }
 
