Settle organisations' limits by the holder's levels

Cause: each instance kept a bucket of the whole limit and charged it with deltas of what the others had granted. Ruled out: the fill rate alone (0.9 in place of 0.95 did not mend it). Change: the holder's buckets are charged with reports, and its views set the levels of the others. An instance that no holder answers spends its part of what was left and of the rate, and says so, so the holder does not fill that part. A scarce bucket yields each instance three times its even part between two views. Nothing is granted by a bucket that has not begun.

--- a/src/coordination/shared_quota.hpp
+++ b/src/coordination/shared_quota.hpp
@@ -5,6 +5,7 @@
 #include "state/lock_rank.hpp"
 #include "state/route_set.hpp"
 
+#include <deque>
 #include <unordered_map>
 #include <variant>
 
@@ -26,11 +27,12 @@
 
 /// Limits of organisations over all instances.
 ///
-/// Each instance keeps a token bucket of the whole limit and takes from it what it grants and what
-/// the others say that they granted. What is granted twice before the update arrives becomes a debt
-/// that the bucket repays. An instance that does not see all others refills only by the part of
-/// the deployment that it sees, so that parts cut off from each other together stay within the
-/// limit. Thread-safe; takes `lock_rank::quota`. Never reads a clock.
+/// A token bucket for each organisation. The holder of the duties charges its buckets with what the
+/// others report, and its views set theirs: a level is the holder's less what was granted since the
+/// report that the view answers. Grants that cross become a debt that the bucket repays. An
+/// instance that no holder answers spends its part of what was left when it last heard, and its
+/// part of the rate; the holder fills without that part, so these grants are not charged again.
+/// Thread-safe; takes `lock_rank::quota`. Never reads a clock.
 class shared_quota
 {
 public:
@@ -47,48 +49,75 @@
     /// Returns units that a request was granted and that it did not use.
     void give_back(state::organisation_id const& organisation, double cost);
 
-    /// What a life of another instance has granted since it began.
-    void apply(
-        state::usage_writer const& writer, state::consumed_units const& consumed,
-        state::time_point now);
+    /// Takes over the limits of a configuration.
+    void limit(std::vector<state::organisation_quota> const& quotas, state::time_point now);
 
     /// The part of the deployment that this instance sees, itself included; from 0 to 1.
-    /// @param until  later than this the part is not known, and a bucket fills by `alone`
-    /// @param alone  the part of this instance by itself
-    void see(double part, state::time_point until, double alone);
+    /// @param until  later than this the part is not known, and the instance is alone
+    /// @param own    the part of this instance by itself
+    void see(double part, state::time_point until, double own, state::time_point now);
 
-    /// What this instance has granted since it began; from now on it counts as reported.
-    state::consumed_units report_consumed();
+    /// True when no holder answers this instance and it does not hold the duties itself.
+    bool alone(state::time_point now);
 
-    /// What this instance has granted since it began.
-    state::consumed_units consumed() const;
+    /// This instance holds the duties from now on: the others report to it.
+    void lead(state::time_point now);
 
-    /// True when the others should hear at once: a bucket runs low and they do not know all that
-    /// this instance took from it.
+    /// As the holder: charges what a life of another instance reports.
+    void charge(
+        state::usage_writer const& writer, state::quota_uses const& uses, state::time_point now);
+
+    /// As the holder: what is left of each limit.
+    state::quota_levels levels(state::time_point now);
+
+    /// What a report tells the holder. @param sequence  of the report
+    state::quota_uses report(std::uint64_t sequence, state::time_point now);
+
+    /// Takes over the holder's levels. @param sequence  of the report that they include
+    void settle(state::quota_levels const& levels, std::uint64_t sequence, state::time_point now);
+
+    /// True when the holder should hear at once: a bucket runs low and its view of what this
+    /// instance took is out of date.
     bool runs_low() const;
 
 private:
     struct bucket
     {
-        double level = 0;
+        double level = 0; ///< of the whole limit
+        double part = 0;  ///< while alone: what this instance may grant
         state::time_point filled_at{};
-        bool begun = false;
         double rate = 0; ///< of the whole limit, units a second
         double capacity = 0;
-        double consumed = 0; ///< by this instance
-        double reported = 0; ///< the part of it that the others know
+        double charged = 0;
+        double settled = 0;  ///< `charged` as the last view included it
+        double reported = 0; ///< `charged` as of the last report
+    };
+
+    /// What a report said, until its view arrives.
+    struct sent_report
+    {
+        std::uint64_t sequence = 0;
+        std::map<state::organisation_id, double> charged;
     };
 
+    bucket& bucket_of(state::organisation_quota const& quota, state::time_point now);
+    void look(state::time_point now);
+    void enter_alone();
+    void leave_alone();
     void fill(bucket& b, state::time_point now) const;
-    double part(state::time_point now) const;
+    bool is_fair(bucket const& b, double cost) const;
+    double own_part() const;
 
     double used_part_;
     mutable state::ranked_mutex mutex_{state::lock_rank::quota};
-    double part_ = 0;
-    double alone_ = 0;
-    state::time_point part_until_{};
+    bool alone_ = true;
+    double seen_ = 0;
+    double own_ = 0;
+    state::time_point seen_until_{};
     std::unordered_map<state::organisation_id, bucket> buckets_;
-    std::map<state::usage_writer, state::consumed_units> others_;
+    std::map<state::usage_writer, state::quota_uses> charged_; ///< as the holder, by writer
+    std::deque<sent_report> sent_;
+    std::uint64_t settled_sequence_ = 0;
 };
 
 } // namespace auburnweir::coordination
--- a/src/protocol/instance_report_codec.cpp
+++ b/src/protocol/instance_report_codec.cpp
@@ -96,24 +96,45 @@
     return usage;
 }
 
-json encode_consumed(state::consumed_units const& consumed)
+json encode_uses(state::quota_uses const& uses)
 {
     auto out = json::array();
-    for (auto const& [organisation, units] : consumed)
-        out.push_back({organisation.str(), units});
+    for (auto const& [organisation, use] : uses)
+        out.push_back({organisation.str(), use.charged, use.unsettled});
     return out;
 }
 
-state::consumed_units read_consumed(json const& from)
+state::quota_uses read_uses(json const& from)
 {
-    state::consumed_units consumed;
+    state::quota_uses uses;
+    for (auto const& e : from)
+    {
+        element_reader in(e);
+        auto& use = uses[state::organisation_id{in.text()}];
+        use.charged = in.decimal();
+        use.unsettled = in.decimal();
+    }
+    return uses;
+}
+
+json encode_levels(state::quota_levels const& levels)
+{
+    auto out = json::array();
+    for (auto const& [organisation, level] : levels)
+        out.push_back({organisation.str(), level});
+    return out;
+}
+
+state::quota_levels read_levels(json const& from)
+{
+    state::quota_levels levels;
     for (auto const& e : from)
     {
         element_reader in(e);
         state::organisation_id const organisation{in.text()};
-        consumed[organisation] = in.decimal();
+        levels[organisation] = in.decimal();
     }
-    return consumed;
+    return levels;
 }
 
 } // namespace
@@ -129,7 +150,8 @@
     out.push_back(report.stopping);
     out.push_back(report.directory.count());
     out.push_back(report.directory_from.count());
-    out.push_back(encode_consumed(report.consumed));
+    out.push_back(report.alone);
+    out.push_back(encode_uses(report.uses));
     if (!report.details)
         return;
     out.push_back(report.details->wall_offset.count());
@@ -148,7 +170,8 @@
     report.stopping = in.flag();
     report.directory = state::directory_version{in.number()};
     report.directory_from = state::incarnation{in.number()};
-    report.consumed = read_consumed(in.array());
+    report.alone = in.flag();
+    report.uses = read_uses(in.array());
     if (in.at_end())
         return report;
     auto& details = report.details.emplace();
@@ -165,7 +188,7 @@
     out.push_back(view.sequence);
     out.push_back(view.known);
     out.push_back(view.live);
-    out.push_back(encode_consumed(view.consumed));
+    out.push_back(encode_levels(view.levels));
     out.push_back(view.directory ? encode_update(*view.directory) : json::array());
     if (view.wall_offset)
         out.push_back(view.wall_offset->count());
@@ -179,7 +202,7 @@
     view.sequence = in.number();
     view.known = in.number();
     view.live = in.number();
-    view.consumed = read_consumed(in.array());
+    view.levels = read_levels(in.array());
     if (auto const& update = in.array(); !update.empty())
         view.directory = read_update(update);
     if (!in.at_end())
--- a/src/state/deployment_view.hpp
+++ b/src/state/deployment_view.hpp
@@ -9,12 +9,12 @@
 /// The response of the holder of the duties to an instance's report.
 struct deployment_view
 {
-    usage_writer from;          ///< the holder's life
-    std::uint64_t sequence = 0; ///< of the report that it answers
-    std::uint64_t known = 1;    ///< instances, the silent ones included
-    std::uint64_t live = 1;     ///< instances that were heard lately
-    consumed_units consumed;    ///< by the others, since the holder first heard of each
-    std::optional<directory_update> directory;            ///< null before the holder has read it
+    usage_writer from;                         ///< the holder's life
+    std::uint64_t sequence = 0;                ///< of the report that it answers
+    std::uint64_t known = 1;                   ///< instances, the silent ones included
+    std::uint64_t live = 1;                    ///< instances that were heard lately
+    quota_levels levels;                       ///< as the holder sees them, that report included
+    std::optional<directory_update> directory; ///< null before the holder has read it
     std::optional<std::chrono::milliseconds> wall_offset; ///< true time less the store's clock
 
     friend bool operator==(deployment_view const&, deployment_view const&) = default;
--- a/src/state/instance_report.hpp
+++ b/src/state/instance_report.hpp
@@ -13,8 +13,19 @@
 namespace auburnweir::state
 {
 
-/// Units of each organisation's limit that an instance granted since its process began.
-using consumed_units = std::map<organisation_id, double>;
+/// What an instance took of one organisation's limit, in units of the limit.
+struct quota_use
+{
+    double charged = 0;   ///< granted since the process began, but for grants of its own part alone
+    double unsettled = 0; ///< the part of `charged` that no view of a holder has included yet
+
+    friend bool operator==(quota_use const&, quota_use const&) = default;
+};
+
+using quota_uses = std::map<organisation_id, quota_use>;
+
+/// Units of each organisation's limit that are left.
+using quota_levels = std::map<organisation_id, double>;
 
 /// The slower part of a report, which does not come with each.
 struct instance_details
@@ -37,7 +48,8 @@
     bool stopping = false;
     directory_version directory{0}; ///< last directory update applied; 0: none
     incarnation directory_from{0};  ///< life of the holder that counts them
-    consumed_units consumed;
+    bool alone = false;             ///< no holder answers it: it keeps to its own part of limits
+    quota_uses uses;
     std::optional<instance_details> details;
 
     friend bool operator==(instance_report const&, instance_report const&) = default;
--- a/src/state/instance_report_table.hpp
+++ b/src/state/instance_report_table.hpp
@@ -16,7 +16,6 @@
     time_point heard_at{};
     instance_report report;
     instance_details details; ///< of the last report that had any
-    consumed_units before;    ///< what its life had consumed when it was first heard
 };
 
 /// Instances that report to this one, which holds the duties.
@@ -39,32 +38,12 @@
         if (!newer)
             return false;
         e.heard_at = now;
-        if (new_life)
-            e.before = report.consumed;
         if (report.details)
             e.details = *report.details;
         e.report = std::move(report);
         return new_life;
     }
 
-    /// What each instance has consumed since it was first heard, summed over all but one.
-    consumed_units consumed_by_others(instance_id const& but) const
-    {
-        ranked_lock lock(mutex_);
-        consumed_units sum;
-        for (auto const& [id, e] : entries_)
-        {
-            if (id == but)
-                continue;
-            for (auto const& [organisation, units] : e.report.consumed)
-            {
-                auto const before = e.before.find(organisation);
-                sum[organisation] += units - (before == e.before.end() ? 0 : before->second);
-            }
-        }
-        return sum;
-    }
-
     void clear()
     {
         ranked_lock lock(mutex_);
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -73,18 +73,18 @@
             break;
         co_await sleep_for(io, pause_after_fault);
     }
-    co_await sleep_for(io, gathering_time);
-    for (;;)
+    // Rows of an earlier start tell the size at once; at the first start the others need a moment.
+    for (auto const pause : {state::duration::zero(), gathering_time})
     {
-        auto const listing = co_await store.read_table(own.table, limit);
-        if (listing)
+        co_await sleep_for(io, pause);
+        auto listing = co_await store.read_table(own.table, limit);
+        while (!listing)
         {
-            std::lock_guard lock(mutex_);
-            if (known_ == 0)
-                known_ = listing.value().rows.size();
-            break;
+            co_await sleep_for(io, pause_after_fault);
+            listing = co_await store.read_table(own.table, limit);
         }
-        co_await sleep_for(io, pause_after_fault);
+        std::lock_guard lock(mutex_);
+        known_ = std::max<std::uint64_t>(known_, listing.value().rows.size());
     }
 }
 
@@ -108,6 +108,7 @@
 void peer_exchange::lead()
 {
     context_.tables.reports.clear();
+    context_.tables.quotas.lead(now());
     std::lock_guard lock(mutex_);
     followed_ = {};
     followed_.id = context_.settings.id;
@@ -144,6 +145,8 @@
     }
     ++ticks_;
     links_.sweep(now());
+    if (auto const routes = context_.tables.routes.current())
+        context_.tables.quotas.limit(routes->organisations(), now());
     if (to.id == context_.settings.id)
         return tick_as_holder();
     if (!to.id.empty())
@@ -155,7 +158,8 @@
 void peer_exchange::see(std::uint64_t live, std::uint64_t known, state::duration valid)
 {
     auto const all = static_cast<double>(std::max<std::uint64_t>(known, 1));
-    context_.tables.quotas.see(static_cast<double>(live) / all, now() + valid, 1 / all);
+    auto const time = now();
+    context_.tables.quotas.see(static_cast<double>(live) / all, time + valid, 1 / all, time);
     context_.tables.repeats.slack(slack_in_use * context_.settings.repeat_slack / all);
 }
 
@@ -174,7 +178,9 @@
     {
         if (time - member.heard_at > view_validity() + context_.settings.report_period)
             continue;
-        ++live;
+        // One that hears no views keeps to its own part of limits, which must not be filled here.
+        if (!member.report.alone)
+            ++live;
         if (member.details.wall_offset.count() != 0)
             opinions.push_back(member.details.wall_offset);
     }
@@ -226,7 +232,8 @@
             report.directory = fed_version_;
         report.directory_from = fed_by_.life;
     }
-    report.consumed = context_.tables.quotas.report_consumed();
+    report.alone = context_.tables.quotas.alone(now());
+    report.uses = context_.tables.quotas.report(report.sequence, now());
     if (!with_details)
         return report;
     auto& details = report.details.emplace();
@@ -249,7 +256,7 @@
     if (!holds_duties())
         return;
     state::usage_writer const writer{report.id, report.life};
-    context_.tables.quotas.apply(writer, report.consumed, now());
+    context_.tables.quotas.charge(writer, report.uses, now());
     if (report.details)
         context_.tables.usage.merge(writer, report.details->usage);
     if (context_.tables.reports.apply(report, now()))
@@ -263,9 +270,7 @@
     state::deployment_view view;
     view.from = {context_.settings.id, context_.life};
     view.sequence = report.sequence;
-    view.consumed = context_.tables.reports.consumed_by_others(report.id);
-    for (auto const& [organisation, units] : context_.tables.quotas.consumed())
-        view.consumed[organisation] += units;
+    view.levels = context_.tables.quotas.levels(now());
     view.wall_offset = context_.clock.agreed();
     bool const known_here = report.directory_from == context_.life;
     view.directory = context_.tables.directory.since(
@@ -292,11 +297,11 @@
     }
     if (view.directory)
         directory_.apply_update(*view.directory);
-    context_.tables.quotas.apply(view.from, view.consumed, now());
     context_.clock.agree(view.wall_offset);
     // Reports come more often while a limit runs low, so a view is valid for a shorter time.
     bool const low = context_.tables.quotas.runs_low();
     see(view.live, view.known, low ? low_report_period + 2 * way_margin : view_validity());
+    context_.tables.quotas.settle(view.levels, view.sequence, now());
 }
 
 } // namespace auburnweir::transport
--- a/tests/unit/shared_quota_test.cpp
+++ b/tests/unit/shared_quota_test.cpp
@@ -27,20 +27,16 @@
         return std::holds_alternative<quota_granted>(at.ask(limit, cost, now));
     }
 
-    static state::usage_writer writer(int index)
+    /// Gives an instance, one of ten, a full bucket; it hears the holder for `length`.
+    void begin(shared_quota& quota, state::duration length = 1h) const
     {
-        return {state::instance_id{"i" + std::to_string(index)}, state::incarnation{1}};
+        quota.see(1, now + length, 0.1, now - 1h);
+        quota.limit({limit}, now - 1h);
     }
 
-    /// Units granted in `length` when all instances ask all the time and hear nothing.
-    double granted_under_pressure(std::vector<shared_quota>& all, state::duration length)
+    static state::usage_writer writer(int index)
     {
-        double sum = 0;
-        for (auto const end = now + length; now < end; now += 10ms)
-            for (auto& quota : all)
-                if (granted(quota, 5))
-                    sum += 5;
-        return sum;
+        return {state::instance_id{"i" + std::to_string(index)}, state::incarnation{1}};
     }
 
     state::organisation_quota limit;
@@ -57,7 +53,7 @@
 TEST_F(shared_quota_test, ask_beyond_the_burst_is_refused_with_the_time_to_come_back)
 {
     shared_quota quota;
-    quota.see(1, now + 1h, 1.0 / 9);
+    begin(quota);
     EXPECT_TRUE(granted(quota, rate));
     auto const d = quota.ask(limit, rate / 2, now);
     ASSERT_TRUE(std::holds_alternative<quota_exceeded>(d));
@@ -69,7 +65,7 @@
 TEST_F(shared_quota_test, ask_after_units_were_given_back_is_granted)
 {
     shared_quota quota;
-    quota.see(1, now + 1h, 1.0 / 9);
+    begin(quota);
     EXPECT_TRUE(granted(quota, rate));
     quota.give_back(limit.id, rate);
     EXPECT_TRUE(granted(quota, rate));
@@ -78,7 +74,7 @@
 TEST_F(shared_quota_test, ask_larger_than_the_bucket_passes_when_it_is_full_and_leaves_a_debt)
 {
     shared_quota quota;
-    quota.see(1, now + 1h, 1.0 / 9);
+    begin(quota);
     EXPECT_TRUE(granted(quota, 3 * rate));
     now += 2s;
     EXPECT_FALSE(granted(quota, 1));
@@ -86,80 +82,126 @@
     EXPECT_TRUE(granted(quota, 1));
 }
 
-TEST_F(shared_quota_test, instances_that_hear_each_other_keep_the_limit_over_time)
-{
-    // Requests of 6% of the burst from nine instances, 3.7 times the limit together; what an
-    // instance tells reaches the others 130 ms later, by way of the holder.
-    constexpr state::duration step = 10ms;
-    constexpr state::duration way = 130ms;
-    std::vector<shared_quota> all(9);
-    std::map<state::time_point, std::vector<std::pair<int, state::consumed_units>>> under_way;
-    double sum = 0;
-    for (auto& q : all)
-        q.see(1, now + 1h, 1.0 / 9);
-    int steps = 0;
-    for (auto const end = now + 8s; now < end; now += step, ++steps)
-    {
-        for (int i = 0; i < 9; ++i)
-        {
-            bool const asks = (steps + i) % 15 == 0;
-            if (asks && granted(all[i], 60))
-                sum += 60;
-            bool const regular = (steps + 3 * i) % 30 == 0;
-            bool const early = (steps + i) % 10 == 0 && all[i].runs_low();
-            if (regular || early)
-                under_way[now + way].emplace_back(i, all[i].report_consumed());
-        }
-        for (auto const& [from, consumed] : under_way[now])
-            for (int to = 0; to < 9; ++to)
-                if (to != from)
-                    all[to].apply(writer(from), consumed, now);
-    }
-    // The slack of the users' deployments is 0.69 of a second's limit.
-    EXPECT_LE(sum, (8 * rate + rate) * 1.1 + 0.69 * rate);
-    EXPECT_GE(sum, 8 * rate * 0.9);
+TEST_F(shared_quota_test, ask_before_any_instance_is_known_gets_next_to_nothing)
+{
+    shared_quota quota;
+    EXPECT_FALSE(granted(quota, rate / 10));
 }
 
-TEST_F(shared_quota_test, instances_cut_off_from_each_other_keep_the_limit_together)
+TEST_F(shared_quota_test, charge_of_another_instance_lowers_the_level_by_the_increase)
 {
-    std::vector<shared_quota> all(9);
-    for (auto& q : all)
-        q.see(1, now - 1s, 1.0 / 9);
-    auto const sum = granted_under_pressure(all, 8s);
-    EXPECT_LE(sum, (8 * rate + rate) * 1.1);
+    shared_quota holder;
+    begin(holder);
+    EXPECT_TRUE(granted(holder, 1));
+    holder.charge(writer(1), {{limit.id, {100, 0}}}, now);
+    holder.charge(writer(1), {{limit.id, {500, 400}}}, now);
+    EXPECT_FALSE(granted(holder, 600));
+    EXPECT_TRUE(granted(holder, 599));
 }
 
-TEST_F(shared_quota_test, bucket_fills_by_the_own_part_alone_when_nothing_is_heard_any_more)
+TEST_F(shared_quota_test, charge_of_a_newly_heard_life_counts_only_what_no_view_included)
+{
+    shared_quota holder;
+    begin(holder);
+    EXPECT_TRUE(granted(holder, 1));
+    holder.charge(writer(1), {{limit.id, {900, 200}}}, now);
+    EXPECT_FALSE(granted(holder, 800));
+    EXPECT_TRUE(granted(holder, 799));
+}
+
+TEST_F(shared_quota_test, charge_after_a_long_rest_is_not_paid_by_what_the_full_bucket_lost)
+{
+    shared_quota holder;
+    begin(holder);
+    EXPECT_TRUE(granted(holder, 1));
+    holder.charge(writer(1), {{limit.id, {10, 0}}}, now);
+    now += 10s;
+    holder.charge(writer(1), {{limit.id, {10 + rate, rate}}}, now);
+    EXPECT_FALSE(granted(holder, 100));
+}
+
+TEST_F(shared_quota_test, settle_replaces_the_level_and_keeps_grants_since_the_report)
 {
     shared_quota quota;
-    quota.see(1, now + 500ms, 0.1);
-    EXPECT_TRUE(granted(quota, rate));
+    begin(quota);
+    EXPECT_TRUE(granted(quota, 100));
+    quota.report(1, now);
+    EXPECT_TRUE(granted(quota, 200));
+    quota.settle({{limit.id, 700.0}}, 1, now);
+    EXPECT_FALSE(granted(quota, 501));
+    EXPECT_TRUE(granted(quota, 500));
+}
+
+TEST_F(shared_quota_test, settle_by_an_overtaken_view_changes_nothing)
+{
+    shared_quota quota;
+    begin(quota);
+    EXPECT_TRUE(granted(quota, 100));
+    quota.report(1, now);
+    quota.report(2, now);
+    quota.settle({{limit.id, 100.0}}, 2, now);
+    quota.settle({{limit.id, 900.0}}, 1, now);
+    EXPECT_FALSE(granted(quota, 101));
+}
+
+TEST_F(shared_quota_test, report_names_what_no_view_has_included)
+{
+    shared_quota quota;
+    begin(quota);
+    EXPECT_TRUE(granted(quota, 100));
+    quota.report(1, now);
+    quota.settle({{limit.id, 900.0}}, 1, now);
+    EXPECT_TRUE(granted(quota, 50));
+    auto const uses = quota.report(2, now);
+    EXPECT_EQ(uses.at(limit.id), (state::quota_use{150, 50}));
+}
+
+TEST_F(shared_quota_test, instance_that_no_holder_answers_spends_its_part_of_what_was_left)
+{
+    shared_quota quota;
+    begin(quota, 500ms);
+    EXPECT_TRUE(granted(quota, 20));
     now += 1500ms;
-    EXPECT_FALSE(granted(quota, 601)); // 0.5 s of the whole and 1 s of a tenth
-    EXPECT_TRUE(granted(quota, 599));
+    EXPECT_TRUE(quota.alone(now));
+    // Its tenth of the full bucket, less what it had granted and no view had included.
+    EXPECT_TRUE(granted(quota, 100));
+    EXPECT_FALSE(granted(quota, 20));
+    now += 300ms;
+    EXPECT_TRUE(granted(quota, 20));
 }
 
-TEST_F(shared_quota_test, news_after_a_long_rest_is_not_paid_by_what_the_full_bucket_lost)
+TEST_F(shared_quota_test, ask_of_a_scarce_bucket_leaves_the_others_their_part)
 {
     shared_quota quota;
-    quota.see(1, now + 1h, 1.0 / 9);
-    EXPECT_TRUE(granted(quota, 1));
-    quota.apply(writer(1), {{limit.id, 10.0}}, now);
-    now += 10s;
-    quota.apply(writer(1), {{limit.id, 10.0 + rate}}, now);
+    begin(quota);
+    quota.report(1, now);
+    quota.settle({{limit.id, 400.0}}, 1, now);
+    EXPECT_TRUE(granted(quota, 100));
     EXPECT_FALSE(granted(quota, 100));
+    quota.report(2, now);
+    quota.settle({{limit.id, 300.0}}, 2, now);
+    EXPECT_TRUE(granted(quota, 90));
 }
 
-TEST_F(shared_quota_test, news_from_a_new_life_of_an_instance_counts_from_its_first_report)
+TEST_F(shared_quota_test, instance_that_hears_again_takes_the_others_to_have_spent_alike)
 {
     shared_quota quota;
-    quota.see(1, now + 1h, 1.0 / 9);
+    begin(quota, 100ms);
     EXPECT_TRUE(granted(quota, 1));
-    quota.apply(writer(1), {{limit.id, 900.0}}, now);
-    EXPECT_TRUE(granted(quota, 900)); // what it granted before is not charged now
+    now += 200ms;
+    EXPECT_TRUE(granted(quota, 50));
+    quota.see(1, now + 1h, 0.1, now);
+    EXPECT_FALSE(granted(quota, 600));
+    EXPECT_TRUE(granted(quota, 400));
+}
+
+TEST_F(shared_quota_test, grants_of_an_instance_that_is_alone_are_not_charged)
+{
+    shared_quota quota;
+    begin(quota, 100ms);
     now += 1s;
-    quota.apply(writer(1), {{limit.id, 1800.0}}, now);
-    EXPECT_FALSE(granted(quota, 500));
+    EXPECT_TRUE(granted(quota, 10));
+    EXPECT_EQ(quota.report(1, now).count(limit.id), 0U);
 }
 
 } // namespace
