Confirm the configuration through the holder's views

While the store was away the watches asked 6 times a second. Change: a view names the newest row of the operators that the holder has read and how old its own confirmation is; a gateway that has read as far is confirmed as of the time it sent the report.

--- a/src/protocol/gateway_settings.cpp
+++ b/src/protocol/gateway_settings.cpp
@@ -70,8 +70,12 @@
             "store_timeout_ms", "time for the store to answer a call", "1000", 10, 60000,
             &settings::store_timeout),
         milliseconds_option(
-            "watch_wait_ms", "longest that the store holds a watch open", "1900", 0, 30000,
+            "watch_wait_ms", "longest that the store holds a watch open", "15000", 0, 30000,
             &settings::watch_wait),
+        milliseconds_option(
+            "confirmation_age_ms",
+            "age of the configuration's last confirmation from which the store is asked again",
+            "1900", 10, 600000, &settings::confirmation_age),
         milliseconds_option(
             "directory_period_ms", "time between looks for changed backend servers", "700", 50,
             60000, &settings::directory_period),
--- a/src/protocol/gateway_settings.hpp
+++ b/src/protocol/gateway_settings.hpp
@@ -40,6 +40,7 @@
     state::duration lease_bound{0};
     state::duration store_timeout{0};
     state::duration watch_wait{0};
+    state::duration confirmation_age{0};
     state::duration directory_period{0};
     state::duration report_period{0};
     state::duration connect_timeout{0};
--- a/src/protocol/instance_report_codec.cpp
+++ b/src/protocol/instance_report_codec.cpp
@@ -74,6 +74,20 @@
     return update;
 }
 
+json encode_mark(state::operator_rows_mark const& mark)
+{
+    return json::array({mark.newest.count(), mark.age.count()});
+}
+
+state::operator_rows_mark read_mark(json const& from)
+{
+    element_reader in(from);
+    state::operator_rows_mark mark;
+    mark.newest = state::row_version{in.number()};
+    mark.age = state::duration{in.integer()};
+    return mark;
+}
+
 json encode_usage(state::usage_by_window const& usage)
 {
     auto out = json::array();
@@ -190,6 +204,7 @@
     out.push_back(view.live);
     out.push_back(encode_levels(view.levels));
     out.push_back(view.directory ? encode_update(*view.directory) : json::array());
+    out.push_back(view.operator_rows ? encode_mark(*view.operator_rows) : json::array());
     if (view.wall_offset)
         out.push_back(view.wall_offset->count());
 }
@@ -205,6 +220,8 @@
     view.levels = read_levels(in.array());
     if (auto const& update = in.array(); !update.empty())
         view.directory = read_update(update);
+    if (auto const& mark = in.array(); !mark.empty())
+        view.operator_rows = read_mark(mark);
     if (!in.at_end())
         view.wall_offset = std::chrono::milliseconds{in.integer()};
     return view;
--- a/src/state/deployment_view.hpp
+++ b/src/state/deployment_view.hpp
@@ -6,6 +6,15 @@
 namespace auburnweir::state
 {
 
+/// How far the holder has read the operators' rows.
+struct operator_rows_mark
+{
+    row_version newest; ///< of the rows
+    duration age{0};    ///< since the question whose answer said that there are none newer
+
+    friend bool operator==(operator_rows_mark const&, operator_rows_mark const&) = default;
+};
+
 /// The response of the holder of the duties to an instance's report.
 struct deployment_view
 {
@@ -15,6 +24,7 @@
     std::uint64_t live = 1;                    ///< instances that were heard lately
     quota_levels levels;                       ///< as the holder sees them, that report included
     std::optional<directory_update> directory; ///< null before the holder has read it
+    std::optional<operator_rows_mark> operator_rows;      ///< null before the holder has read them
     std::optional<std::chrono::milliseconds> wall_offset; ///< true time less the store's clock
 
     friend bool operator==(deployment_view const&, deployment_view const&) = default;
--- a/src/state/route_table.hpp
+++ b/src/state/route_table.hpp
@@ -25,7 +25,22 @@
         return true;
     }
 
-    /// The store said in answer to a question of `asked_at` that nothing newer is known.
+    /// All changes of the operators up to this version of their rows have been taken.
+    void read_through(row_version newest)
+    {
+        ranked_lock lock(mutex_);
+        newest_ = std::max(newest_, newest);
+    }
+
+    /// Version of the newest row of the operators that was taken.
+    row_version newest() const
+    {
+        ranked_lock lock(mutex_);
+        return newest_;
+    }
+
+    /// The store said in answer to a question of `asked_at`, to this instance or to the holder of
+    /// the duties, that nothing newer is known.
     void confirm(time_point asked_at, time_point heard_at)
     {
         ranked_lock lock(mutex_);
@@ -49,7 +64,7 @@
         return now - confirmed_at_;
     }
 
-    /// How long the store has not answered; longer than any bound before its first answer.
+    /// How long no confirmation was heard; longer than any bound before the first.
     duration silence(time_point now) const
     {
         ranked_lock lock(mutex_);
@@ -61,6 +76,7 @@
 private:
     mutable ranked_mutex mutex_{lock_rank::configuration};
     route_set_ptr routes_;
+    row_version newest_;
     time_point confirmed_at_{};
     time_point heard_at_{};
 };
--- a/src/transport/gateway_server.cpp
+++ b/src/transport/gateway_server.cpp
@@ -66,7 +66,7 @@
         , directory(context)
         , peers(context, links, directory)
         , duties(context, peers)
-        , watch(context, directory)
+        , watch(context, directory, peers)
         , callers(
               workers,
               [this](worker& home, tcp::socket socket)
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -35,6 +35,9 @@
 /// Table of the store with a row for each instance that ever started.
 constexpr char const* instance_table_name = "auburnweir-instances";
 
+/// Reports that may be on their way at the same time; older ones are lost.
+constexpr std::size_t most_sent_reports = 32;
+
 constexpr state::duration pause_after_fault = std::chrono::milliseconds{300};
 
 /// Time in which instances that start together have written their rows.
@@ -232,6 +235,12 @@
             report.directory = fed_version_;
         report.directory_from = fed_by_.life;
     }
+    {
+        std::lock_guard lock(mutex_);
+        sent_.push_back({report.sequence, now()});
+        if (sent_.size() > most_sent_reports)
+            sent_.pop_front();
+    }
     report.alone = context_.tables.quotas.alone(now());
     report.uses = context_.tables.quotas.report(report.sequence, now());
     if (!with_details)
@@ -275,20 +284,37 @@
     bool const known_here = report.directory_from == context_.life;
     view.directory = context_.tables.directory.since(
         known_here ? report.directory : state::directory_version{0}, now());
+    if (context_.tables.routes.current())
+        view.operator_rows = {
+            context_.tables.routes.newest(), context_.tables.routes.age(now())};
     std::lock_guard lock(mutex_);
     view.known = known_;
     view.live = live_;
     return view;
 }
 
+void peer_exchange::take_mark(
+    state::operator_rows_mark const& mark, state::time_point reported_at)
+{
+    // The view was made after the report was sent, so the holder's question is at least this late.
+    if (mark.newest <= context_.tables.routes.newest())
+        context_.tables.routes.confirm(reported_at - mark.age, now());
+}
+
 void peer_exchange::take_view(state::deployment_view const& view)
 {
+    std::optional<state::time_point> reported_at;
     {
         std::lock_guard lock(mutex_);
         if (view.from.id != followed_.id)
             return;
         answered_at_ = now();
         known_ = view.known;
+        auto const sent = std::find_if(
+            sent_.begin(), sent_.end(),
+            [&](sent_report const& s) { return s.sequence == view.sequence; });
+        if (sent != sent_.end())
+            reported_at = sent->at;
         if (view.directory)
         {
             fed_by_ = view.from;
@@ -297,6 +323,8 @@
     }
     if (view.directory)
         directory_.apply_update(*view.directory);
+    if (view.operator_rows && reported_at)
+        take_mark(*view.operator_rows, *reported_at);
     context_.clock.agree(view.wall_offset);
     // Reports come more often while a limit runs low, so a view is valid for a shorter time.
     bool const low = context_.tables.quotas.runs_low();
--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -4,6 +4,8 @@
 #include "transport/directory_sync.hpp"
 #include "transport/peer_links.hpp"
 
+#include <deque>
+
 namespace auburnweir::transport
 {
 
@@ -51,6 +53,7 @@
     state::deployment_view view_for(state::instance_report const& report);
     void take_report(connection_number via, state::instance_report report);
     void take_view(state::deployment_view const& view);
+    void take_mark(state::operator_rows_mark const& mark, state::time_point reported_at);
 
     gateway_context& context_;
     peer_links& links_;
@@ -59,11 +62,19 @@
     std::uint64_t ticks_ = 0;
     std::uint64_t sequence_ = 0;
 
+    /// A report whose view may still arrive.
+    struct sent_report
+    {
+        std::uint64_t sequence = 0;
+        state::time_point at{};
+    };
+
     mutable std::mutex mutex_;
     state::instance followed_; ///< empty when none is known
     state::time_point answered_at_{};
     state::usage_writer fed_by_;              ///< holder whose directory updates were applied last
     state::directory_version fed_version_{0}; ///< in its count
+    std::deque<sent_report> sent_;
     std::uint64_t known_ = 0;                 ///< instances, by the last view or by their rows
     std::uint64_t live_ = 1;                  ///< where this instance holds the duties
     std::uint64_t inherited_ = 0; ///< instances that were known when this one became the holder
--- a/src/transport/store_watch.hpp
+++ b/src/transport/store_watch.hpp
@@ -2,6 +2,7 @@
 #define AUBURNWEIR_TRANSPORT_STORE_WATCH_HPP
 
 #include "transport/directory_sync.hpp"
+#include "transport/peer_exchange.hpp"
 
 namespace auburnweir::transport
 {
@@ -10,7 +11,7 @@
 class store_watch
 {
 public:
-    store_watch(gateway_context& context, directory_sync& directory);
+    store_watch(gateway_context& context, directory_sync& directory, peer_exchange const& peers);
 
     void start();
 
@@ -19,15 +20,21 @@
 
 private:
     net::awaitable<void> watch_configuration();
+    net::awaitable<void> confirm_configuration();
+    void take_operator_listing(row_listing const& listing);
     net::awaitable<void> watch_directory();
     void take_operator_rows(row_listing const& listing);
     void take_move(ordered_move const& move);
     void take_configuration(std::string const& text);
+    state::duration confirmation_age() const;
     void note(bool& reachable, std::string_view what, std::optional<store_fault> fault);
 
     gateway_context& context_;
     directory_sync& directory_;
+    peer_exchange const& peers_;
     net::io_context& io_;
+    state::row_version operator_since_; ///< changes of the operators up to it were taken
+    bool watch_held_ = false;           ///< the store holds the watch of the configuration
     bool have_routes_ = false;
     bool have_servers_ = false;
     bool configuration_reachable_ = true;
