Wait for silent streams that may go nowhere else, and for half-read requests

A resumable stream was given up on after 1.5 s of silence also when no attempt, server or repeat was left: the caller's answer was broken off while the engine was still at work. A stopping gateway counted a request from its last byte on, and ended between the first and the last one. Ruled out: kept connections closed with an answer unsent (the reply's write ends before the count does). Change: silence ends an attempt only when the stream may go on elsewhere; a request counts from its first byte; a stop waits for 0.3 s without any.

--- a/src/coordination/attempt_policy.cpp
+++ b/src/coordination/attempt_policy.cpp
@@ -35,6 +35,11 @@
 
 } // namespace
 
+bool may_send_again(attempt_progress const& progress, attempt_limits const& limits)
+{
+    return may_run_again(progress) && worth_a_send(progress, limits);
+}
+
 attempt_decision decide_attempt(
     failed_attempt_kind const& failed, attempt_progress const& progress, bool budget_left,
     attempt_limits const& limits)
--- a/src/coordination/attempt_policy.hpp
+++ b/src/coordination/attempt_policy.hpp
@@ -73,6 +73,9 @@
     state::duration least_time = std::chrono::milliseconds{50}; ///< less is not worth a send
 };
 
+/// Whether a request whose attempt is given up on could be sent to another backend server.
+bool may_send_again(attempt_progress const& progress, attempt_limits const& limits = {});
+
 /// What follows a failed attempt. A repeat still has to be paid from the budget.
 /// @param budget_left  whether a repeat is allowed now
 attempt_decision decide_attempt(
--- a/src/coordination/repeat_budget.cpp
+++ b/src/coordination/repeat_budget.cpp
@@ -25,13 +25,24 @@
     h.requests.push_back(now);
 }
 
+bool repeat_budget::has_room(history& h, state::time_point now) const
+{
+    forget_old(h, now);
+    auto const allowed = limits_.ratio * static_cast<double>(h.requests.size()) + limits_.slack;
+    return static_cast<double>(h.repeats.size()) + 1 <= allowed;
+}
+
+bool repeat_budget::allows(state::service_id const& service, state::time_point now)
+{
+    state::ranked_lock lock(mutex_);
+    return has_room(histories_[service], now);
+}
+
 bool repeat_budget::take(state::service_id const& service, state::time_point now)
 {
     state::ranked_lock lock(mutex_);
     auto& h = histories_[service];
-    forget_old(h, now);
-    auto const allowed = limits_.ratio * static_cast<double>(h.requests.size()) + limits_.slack;
-    if (static_cast<double>(h.repeats.size()) + 1 > allowed)
+    if (!has_room(h, now))
         return false;
     h.repeats.push_back(now);
     return true;
--- a/src/coordination/repeat_budget.hpp
+++ b/src/coordination/repeat_budget.hpp
@@ -36,6 +36,9 @@
 
     void record_request(state::service_id const& service, state::time_point now);
 
+    /// True when a repeat could be taken now.
+    bool allows(state::service_id const& service, state::time_point now);
+
     /// Takes one repeat. @return false when the window's repeats are used up
     bool take(state::service_id const& service, state::time_point now);
 
@@ -47,6 +50,7 @@
     };
 
     void forget_old(history& h, state::time_point now) const;
+    bool has_room(history& h, state::time_point now) const;
 
     repeat_limits limits_;
     mutable state::ranked_mutex mutex_{state::lock_rank::retry_budget};
--- a/src/transport/answer_relay.cpp
+++ b/src/transport/answer_relay.cpp
@@ -11,7 +11,7 @@
 /// Largest answer that is held in memory before it is passed on, in bytes.
 constexpr std::size_t most_held_answer = 16 * 1024 * 1024;
 
-/// A resumable stream that is silent for longer goes on elsewhere.
+/// A stream that is silent for longer goes on elsewhere, where it may.
 constexpr state::duration longest_silence = std::chrono::milliseconds{1500};
 
 } // namespace
@@ -59,13 +59,16 @@
         auto const left = time_left();
         if (left <= state::duration::zero())
             co_return relay_end::timed_out;
-        auto const limit = request_.resumable ? std::min(left, longest_silence) : left;
+        auto const limit = request_.may_leave ? std::min(left, longest_silence) : left;
         auto const part = co_await answer.read(limit);
         if (request_.cancel->cancelled())
             co_return relay_end::caller_gone;
         if (!part)
         {
             bool const late = time_left() <= state::duration::zero();
+            bool const silent = part.error() == http_fault::timed_out && !late;
+            if (silent && !request_.may_leave())
+                continue;
             co_return late ? relay_end::timed_out : relay_end::broken;
         }
         bool const ended = part.value().empty();
--- a/src/transport/answer_relay.hpp
+++ b/src/transport/answer_relay.hpp
@@ -21,7 +21,7 @@
 {
     state::time_point arrived{};
     state::time_point deadline{};
-    bool resumable = false; ///< a stream that may go on elsewhere after its last event
+    std::function<bool()> may_leave; ///< whether a silent stream may go on elsewhere; empty: never
     std::shared_ptr<call_cancel> cancel;
 };
 
--- a/src/transport/entry_context.hpp
+++ b/src/transport/entry_context.hpp
@@ -12,6 +12,7 @@
 #include "state/counters.hpp"
 #include "state/instance_table.hpp"
 #include "state/journal.hpp"
+#include "transport/activity_count.hpp"
 #include "transport/admission_gate.hpp"
 #include "transport/ledger_store.hpp"
 #include "transport/peer_links.hpp"
@@ -44,41 +45,6 @@
 /// A tag for the tokens that this instance is about to produce.
 state::generation_tag new_generation();
 
-/// Counts requests in progress, so that a stop can wait for them.
-class activity_count
-{
-public:
-    /// One request in progress, until it goes out of scope.
-    class scope
-    {
-    public:
-        explicit scope(activity_count& owner)
-            : owner_(&owner)
-        {
-            ++owner_->count_;
-        }
-        scope(scope&& other) noexcept
-            : owner_(std::exchange(other.owner_, nullptr))
-        {
-        }
-        scope& operator=(scope&&) = delete;
-        ~scope()
-        {
-            if (owner_)
-                --owner_->count_;
-        }
-
-    private:
-        activity_count* owner_;
-    };
-
-    scope begin() { return scope{*this}; }
-    std::int64_t value() const { return count_; }
-
-private:
-    std::atomic<std::int64_t> count_{0};
-};
-
 /// What the handlers of an entry instance work with; owned by `entry_server`.
 struct entry_context
 {
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -134,8 +134,10 @@
     progress_.repeat = route_->repeat;
     progress_.most_attempts = route_->most_attempts;
     resume_after_ = head_.resume_after;
-    bool const resumable = route_->repeat == state::repeat_rule::resumable;
-    relay_.emplace(context_, writer_, relayed_request{arrived_, deadline_, resumable, cancel_});
+    relayed_request relayed{arrived_, deadline_, {}, cancel_};
+    if (route_->repeat == state::repeat_rule::resumable)
+        relayed.may_leave = [this] { return may_go_on_elsewhere(); };
+    relay_.emplace(context_, writer_, std::move(relayed));
     return true;
 }
 
@@ -166,13 +168,29 @@
                                  {"sends", std::to_string(progress_.sends)}});
 }
 
+std::vector<state::server_view> forwarder::candidates() const
+{
+    auto usable = context_.tables.servers.usable(service_, now());
+    context_.tables.moves.exclude_target(service_, usable);
+    return usable;
+}
+
+bool forwarder::may_go_on_elsewhere()
+{
+    progress_.time_left = time_left();
+    auto const others = candidates();
+    bool const untried = std::any_of(
+        others.begin(), others.end(),
+        [&](state::server_view const& v) { return !tried_.contains(v.listed.id); });
+    return untried && coordination::may_send_again(progress_) &&
+           context_.tables.repeats.allows(service_, now());
+}
+
 net::awaitable<void> forwarder::attempts()
 {
     while (!done_ && !cancel_->cancelled())
     {
-        auto& servers = context_.tables.servers;
-        auto usable = servers.usable(service_, now());
-        context_.tables.moves.exclude_target(service_, usable);
+        auto const usable = candidates();
         coordination::choice_request wanted;
         wanted.home = context_.settings.failure_domain;
         wanted.tried = tried_;
--- a/src/transport/forwarder.hpp
+++ b/src/transport/forwarder.hpp
@@ -26,6 +26,8 @@
 
 private:
     bool admit();
+    std::vector<state::server_view> candidates() const;
+    bool may_go_on_elsewhere();
     net::awaitable<void> attempts();
     net::awaitable<void> attempt(state::server_view const& server);
     net::awaitable<void> take_answer(state::server_view const& server, http_stream answer);
--- a/src/transport/gateway_connection.cpp
+++ b/src/transport/gateway_connection.cpp
@@ -22,24 +22,6 @@
     return net::redirect_error(net::use_awaitable, fault);
 }
 
-/// Counts a request as in progress for the time of its scope.
-class progress_mark
-{
-public:
-    explicit progress_mark(std::atomic<std::int64_t>& count)
-        : count_(count)
-    {
-        ++count_;
-    }
-
-    progress_mark(progress_mark const&) = delete;
-    progress_mark& operator=(progress_mark const&) = delete;
-    ~progress_mark() { --count_; }
-
-private:
-    std::atomic<std::int64_t>& count_;
-};
-
 /// Transfer codings other than exactly `chunked` leave open where a request ends.
 bool framing_is_clear(http::fields const& fields)
 {
@@ -111,6 +93,8 @@
         writer_.keep_alive(false);
         co_return false;
     }
+    // From the first byte on, so that a stop waits for the rest.
+    auto const active = context_.activity.begin();
     auto const limit = limits();
     request_parser parser;
     parser.header_limit(static_cast<std::uint32_t>(limit.header.count()));
@@ -130,7 +114,6 @@
         co_await refuse_unread(fault);
         co_return false;
     }
-    progress_mark const in_progress(context_.requests_in_progress);
     writer_.keep_alive(parser.get().keep_alive() && context_.phase == stop_phase::running);
     forwarder request(context_, home_, stream_, writer_, parser.release(), arrived);
     co_await request.run();
--- a/src/transport/gateway_context.hpp
+++ b/src/transport/gateway_context.hpp
@@ -1,6 +1,7 @@
 #ifndef AUBURNWEIR_TRANSPORT_GATEWAY_CONTEXT_HPP
 #define AUBURNWEIR_TRANSPORT_GATEWAY_CONTEXT_HPP
 
+#include "transport/activity_count.hpp"
 #include "transport/control_store.hpp"
 #include "transport/fleet_api.hpp"
 #include "transport/gateway_tables.hpp"
@@ -43,7 +44,7 @@
     shared_clock& clock;
     platform_ports ports;
     std::atomic<stop_phase>& phase;
-    std::atomic<std::int64_t>& requests_in_progress;
+    activity_count& activity;
 };
 
 } // namespace auburnweir::transport
--- a/src/transport/gateway_server.cpp
+++ b/src/transport/gateway_server.cpp
@@ -24,6 +24,9 @@
 /// How often a stopping process looks whether its requests have ended.
 constexpr state::duration activity_period = std::chrono::milliseconds{50};
 
+/// Time without any request after which none is taken to be on its way.
+constexpr state::duration quiet_time = std::chrono::milliseconds{300};
+
 /// Time in which callers still arrive after readiness went off: two probes a second apart.
 constexpr state::duration readiness_lag = std::chrono::milliseconds{3500};
 
@@ -58,7 +61,7 @@
                   clock,
                   {*ports.dialect, *ports.format, *ports.store, *ports.fleet},
                   phase,
-                  requests_in_progress}
+                  activity}
         , links(
               settings.id, settings.peer_key,
               [this](auto const&, auto via, protocol::peer_message m)
@@ -94,7 +97,7 @@
     std::function<state::findings()> settings_check;
     gateway_tables tables;
     std::atomic<stop_phase> phase{stop_phase::running};
-    std::atomic<std::int64_t> requests_in_progress{0};
+    activity_count activity;
     worker_pool workers;
     timer_service timers;
     shared_clock clock;
@@ -153,7 +156,7 @@
     auto const age = std::chrono::duration<double>(tables.routes.age(now())).count();
     protocol::append_gauge(reply.body, "configuration_age_seconds", age);
     protocol::append_gauge(
-        reply.body, "requests_in_progress", static_cast<double>(requests_in_progress.load()));
+        reply.body, "requests_in_progress", static_cast<double>(activity.value()));
     protocol::append_gauge(
         reply.body, "log_lines_dropped", static_cast<double>(log_lines_dropped()));
     if (auto const routes = tables.routes.current())
@@ -216,17 +219,21 @@
 
 net::awaitable<void> gateway_server::parts::stop()
 {
-    log(log_event::gateway_stopping,
-        {{"instance", settings.id.str()},
-         {"requests_in_progress", std::to_string(requests_in_progress.load())}});
+    log(log_event::gateway_stopping, {{"instance", settings.id.str()},
+                                      {"requests_in_progress", std::to_string(activity.value())}});
     auto& io = workers.at(0).io();
     auto const begun = now();
     auto const until = begun + settings.stop_grace - grace_margin;
     co_await sleep_for(io, std::min(readiness_lag, settings.stop_grace - grace_margin));
     phase = stop_phase::refusing;
     callers.close();
-    while (now() < until && requests_in_progress > 0)
+    auto active_at = now();
+    while (now() < until && now() - active_at < quiet_time)
+    {
         co_await sleep_for(io, activity_period);
+        if (activity.value() > 0)
+            active_at = now();
+    }
     workers.stop();
 }
 
@@ -270,9 +277,8 @@
     p.workers.start();
     p.workers.join();
     p.links.stop();
-    log(log_event::gateway_stopped,
-        {{"instance", p.settings.id.str()},
-         {"requests_in_progress", std::to_string(p.requests_in_progress.load())}});
+    log(log_event::gateway_stopped, {{"instance", p.settings.id.str()},
+                                     {"requests_in_progress", std::to_string(p.activity.value())}});
     flush_log();
 }
 
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -285,16 +285,14 @@
     view.directory = context_.tables.directory.since(
         known_here ? report.directory : state::directory_version{0}, now());
     if (context_.tables.routes.current())
-        view.operator_rows = {
-            context_.tables.routes.newest(), context_.tables.routes.age(now())};
+        view.operator_rows = {context_.tables.routes.newest(), context_.tables.routes.age(now())};
     std::lock_guard lock(mutex_);
     view.known = known_;
     view.live = live_;
     return view;
 }
 
-void peer_exchange::take_mark(
-    state::operator_rows_mark const& mark, state::time_point reported_at)
+void peer_exchange::take_mark(state::operator_rows_mark const& mark, state::time_point reported_at)
 {
     // The view was made after the report was sent, so the holder's question is at least this late.
     if (mark.newest <= context_.tables.routes.newest())
--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -75,8 +75,8 @@
     state::usage_writer fed_by_;              ///< holder whose directory updates were applied last
     state::directory_version fed_version_{0}; ///< in its count
     std::deque<sent_report> sent_;
-    std::uint64_t known_ = 0;                 ///< instances, by the last view or by their rows
-    std::uint64_t live_ = 1;                  ///< where this instance holds the duties
+    std::uint64_t known_ = 0;     ///< instances, by the last view or by their rows
+    std::uint64_t live_ = 1;      ///< where this instance holds the duties
     std::uint64_t inherited_ = 0; ///< instances that were known when this one became the holder
     state::time_point leads_since_{};
 };
--- a/src/transport/store_watch.cpp
+++ b/src/transport/store_watch.cpp
@@ -12,7 +12,8 @@
 namespace
 {
 
-/// Pauses after failed calls to the store, from the first on; short against the bounds of freshness.
+/// Pauses after failed calls to the store, from the first on; short against the bounds of
+/// freshness.
 constexpr state::duration first_fault_pause = std::chrono::milliseconds{150};
 constexpr state::duration longest_fault_pause = std::chrono::milliseconds{600};
 
@@ -89,8 +90,8 @@
         if (whole)
             got = co_await store.read_table(table, settings.store_timeout);
         else
-            got = co_await store.changes(
-                table, operator_since_, wait, wait + settings.store_timeout);
+            got =
+                co_await store.changes(table, operator_since_, wait, wait + settings.store_timeout);
         watch_held_ = false;
         if (!got)
         {
--- a/tests/integration/gateway_forward_test.cpp
+++ b/tests/integration/gateway_forward_test.cpp
@@ -152,6 +152,16 @@
     EXPECT_EQ(system.runs("c1"), 1);
 }
 
+TEST_F(gateway_forward_test, silent_stream_that_may_go_nowhere_else_is_waited_for)
+{
+    // Both servers pause for longer than a stream is waited for while it may go on elsewhere.
+    for (int i = 0; i < 2; ++i)
+        gateway_deployment::control(system.backend(i), {{"event_ms", 1700}, {"events", 2}});
+    auto const got = system.send("/stream/x", "w1", {{"Auburnweir-Deadline-Ms", "8000"}});
+    EXPECT_EQ(got.status, 200);
+    EXPECT_EQ(got.body, "id: 1\ndata: token-1\n\nid: 2\ndata: token-2\n\n");
+}
+
 TEST_F(gateway_forward_test, new_configuration_is_in_force_within_its_bound)
 {
     system.configure([](json& c) { c["routes"][0]["prefix"] = "/moved/"; });
@@ -195,6 +205,22 @@
     EXPECT_EQ(system.send("/safe/x", "u1").status, 200);
 }
 
+TEST_F(gateway_forward_test, request_that_is_half_read_when_the_gateway_stops_is_answered)
+{
+    std::vector<std::string> const parts{
+        "POST /once/x HTTP/1.1\r\nHost: calls.test\r\nAuburnweir-Attempt-Id: b1\r\n"
+        "Content-Length: 5\r\n\r\nor",
+        "der"};
+    // The gateway takes requests for 3.5 s after the signal and has nothing else to finish.
+    constexpr int pause = 4200;
+    auto received =
+        std::async(std::launch::async, [&] { return send_raw(system.port(), parts, pause, 3000); });
+    std::this_thread::sleep_for(std::chrono::milliseconds{200});
+    system.gateway(0).signal(SIGTERM);
+    EXPECT_EQ(received.get().substr(0, 12), "HTTP/1.1 503");
+    EXPECT_EQ(system.runs("b1"), 0);
+}
+
 TEST_F(gateway_forward_test, gateway_that_stops_refuses_late_requests_and_finishes_early_ones)
 {
     gateway_deployment::control(system.backend(0), {{"delay_ms", 2500}});
--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -1,5 +1,7 @@
 #include "support/caller.hpp"
 
+#include <thread>
+
 namespace auburnweir::tests
 {
 
@@ -77,12 +79,23 @@
 }
 
 std::string send_raw(std::uint16_t port, std::string const& bytes, int limit_ms)
+{
+    return send_raw(port, {bytes}, 0, limit_ms);
+}
+
+std::string send_raw(
+    std::uint16_t port, std::vector<std::string> const& parts, int pause_ms, int limit_ms)
 {
     net::io_context io(1);
     transport::beast::tcp_stream stream(io);
     transport::error_code fault;
     stream.connect(tcp::endpoint{net::ip::address_v4::loopback(), port}, fault);
-    net::write(stream.socket(), net::buffer(bytes), fault);
+    for (auto const& bytes : parts)
+    {
+        if (&bytes != &parts.front())
+            std::this_thread::sleep_for(std::chrono::milliseconds{pause_ms});
+        net::write(stream.socket(), net::buffer(bytes), fault);
+    }
     std::string received;
     std::array<char, 4096> part{};
     std::function<void()> read = [&]
--- a/tests/support/caller.hpp
+++ b/tests/support/caller.hpp
@@ -55,6 +55,10 @@
 /// Sends bytes as they are and returns what comes back until the connection closes or is silent.
 std::string send_raw(std::uint16_t port, std::string const& bytes, int limit_ms = 3000);
 
+/// The same with a pause before each part but the first.
+std::string send_raw(
+    std::uint16_t port, std::vector<std::string> const& parts, int pause_ms, int limit_ms);
+
 /// A streamed answer that is read step by step.
 class streamed_answer
 {
