Take no request that a stop can't finish; spend a reserve while no holder answers

What is sent later than 3 s after the signal must be finished. Change: requests are refused from 2.8 s after the signal on. An instance that is alone may spend its part of half a second's rate beyond its part of the level, once; the users allow a tenth of eight seconds more.

--- a/src/coordination/shared_quota.cpp
+++ b/src/coordination/shared_quota.cpp
@@ -31,6 +31,10 @@
 /// organisation's requests are denser at some instances than at others.
 constexpr double uneven_demand = 3;
 
+/// Part of a second's rate by which all instances together may overspend while they are alone,
+/// once: from the tenth by which the users let a limit be overrun in eight seconds.
+constexpr double alone_reserve = 0.5;
+
 double seconds(state::duration d)
 {
     return std::chrono::duration<double>(d).count();
@@ -43,6 +47,11 @@
     return own_ > 0 ? own_ : part_when_unknown;
 }
 
+double shared_quota::reserve(bucket const& b)
+{
+    return alone_reserve * b.rate;
+}
+
 shared_quota::bucket& shared_quota::bucket_of(
     state::organisation_quota const& quota, state::time_point now)
 {
@@ -69,8 +78,9 @@
     look(now);
     auto& b = bucket_of(quota, now);
     // A request larger than the bucket passes when the bucket is full, and leaves a debt.
-    auto const share = alone_ ? own_part() : 1;
-    auto const needed = std::min(alone_ ? early_grant * cost : cost, share * b.capacity);
+    auto const needed = alone_
+                            ? std::min(early_grant * cost, own_part() * (b.capacity + reserve(b)))
+                            : std::min(cost, b.capacity);
     auto& left = alone_ ? b.part : b.level;
     if (left >= needed && (alone_ || is_fair(b, cost)))
     {
@@ -122,7 +132,8 @@
     auto const elapsed = seconds(now - b.filled_at);
     b.filled_at = now;
     if (alone_)
-        b.part = std::min(own_part() * b.capacity, b.part + own_part() * b.rate * elapsed);
+        b.part = std::min(
+            own_part() * (b.capacity + reserve(b)), b.part + own_part() * b.rate * elapsed);
     else
         b.level = std::min(b.capacity, b.level + seen_ * b.rate * elapsed);
 }
@@ -140,7 +151,7 @@
         fill(b, seen_until_);
         // What no view has included is paid from the own part, in place of being charged.
         auto const unsettled = b.charged - b.settled;
-        b.part = own_part() * (b.level + unsettled) - unsettled;
+        b.part = own_part() * (b.level + unsettled + reserve(b)) - unsettled;
         b.charged = b.settled;
     }
     alone_ = true;
@@ -150,7 +161,7 @@
 {
     // The others are taken to have spent of their parts as this instance did of its own.
     for (auto& [id, b] : buckets_)
-        b.level = std::clamp(b.part / own_part(), 0.0, b.capacity);
+        b.level = std::clamp(b.part / own_part() - reserve(b), 0.0, b.capacity);
     alone_ = false;
 }
 
--- a/src/coordination/shared_quota.hpp
+++ b/src/coordination/shared_quota.hpp
@@ -107,6 +107,7 @@
     void fill(bucket& b, state::time_point now) const;
     bool is_fair(bucket const& b, double cost) const;
     double own_part() const;
+    static double reserve(bucket const& b);
 
     double used_part_;
     mutable state::ranked_mutex mutex_{state::lock_rank::quota};
--- a/src/transport/gateway_server.cpp
+++ b/src/transport/gateway_server.cpp
@@ -27,8 +27,9 @@
 /// Time without any request after which none is taken to be on its way.
 constexpr state::duration quiet_time = std::chrono::milliseconds{300};
 
-/// Time in which callers still arrive after readiness went off: two probes a second apart.
-constexpr state::duration readiness_lag = std::chrono::milliseconds{3500};
+/// Time in which callers still arrive after readiness went off, from two missed probes a second
+/// apart. What is taken later than 3 s after the signal must be finished whatever it takes.
+constexpr state::duration readiness_lag = std::chrono::milliseconds{2800};
 
 /// Part of the grace that is kept in hand before the kill.
 constexpr state::duration grace_margin = std::chrono::milliseconds{400};
--- /dev/null
+++ b/tests/soak/soak_callers.hpp
@@ -0,0 +1,37 @@
+#ifndef AUBURNWEIR_SOAK_CALLERS_HPP
+#define AUBURNWEIR_SOAK_CALLERS_HPP
+
+#include "soak/soak_plan.hpp"
+#include "soak/soak_record.hpp"
+#include "soak/soak_world.hpp"
+
+#include <atomic>
+#include <thread>
+#include <vector>
+
+namespace auburnweir::soak
+{
+
+/// Threads that send requests one after the other, on connections that they keep for as long as
+/// the gateway does.
+class soak_callers
+{
+public:
+    soak_callers(soak_size const& size, std::uint64_t seed, soak_world& world, soak_record& record);
+    ~soak_callers();
+
+    void stop();
+
+private:
+    void run(int index, std::uint64_t seed);
+
+    soak_size size_;
+    soak_world& world_;
+    soak_record& record_;
+    std::atomic<bool> stopped_{false};
+    std::vector<std::thread> threads_;
+};
+
+} // namespace auburnweir::soak
+
+#endif
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -1,8 +1,10 @@
 #include "support/process.hpp"
 
+#include <array>
 #include <cerrno>
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <poll.h>
 #include <spawn.h>
 #include <sstream>
@@ -91,6 +93,7 @@
     : pid_(std::exchange(other.pid_, -1))
     , output_(std::exchange(other.output_, -1))
     , ports_(std::move(other.ports_))
+    , keeper_(std::move(other.keeper_))
 {
 }
 
@@ -99,16 +102,36 @@
     std::swap(pid_, other.pid_);
     std::swap(output_, other.output_);
     std::swap(ports_, other.ports_);
+    std::swap(keeper_, other.keeper_);
     return *this;
 }
 
 process::~process()
 {
     kill();
+    if (keeper_.joinable())
+        keeper_.join();
     if (output_ >= 0)
         close(output_);
 }
 
+void process::keep_output(std::string const& path)
+{
+    keeper_ = std::thread(
+        [from = output_, path]
+        {
+            std::ofstream file(path, std::ios::app);
+            std::array<char, 16384> bytes{};
+            for (;;)
+            {
+                auto const got = read(from, bytes.data(), bytes.size());
+                if (got <= 0)
+                    return;
+                file.write(bytes.data(), got);
+            }
+        });
+}
+
 void process::signal(int number) const
 {
     if (pid_ > 0)
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace auburnweir::tests
@@ -26,6 +27,9 @@
 
     int pid() const { return pid_; }
 
+    /// Appends what it prints from now on to a file.
+    void keep_output(std::string const& path);
+
     void signal(int number) const;
 
     /// Kills it at once, as a reclaim does.
@@ -38,6 +42,7 @@
     int pid_ = -1;
     int output_ = -1;
     std::map<std::string, std::uint16_t> ports_;
+    std::thread keeper_; ///< copies the output
 };
 
 /// A finished run of a program.
--- a/tools/standins/metadata_store.cpp
+++ b/tools/standins/metadata_store.cpp
@@ -72,6 +72,9 @@
     net::awaitable<void> handle(standin_request request, standin_connection& connection)
     {
         auto const path = request.target.substr(0, request.target.find('?'));
+        bool const by_test = path == "/control" || path == "/duties" || path == "/rows";
+        if (!by_test && delay_ms_ > 0)
+            co_await transport::sleep_for(io_, std::chrono::milliseconds{delay_ms_});
         if (path == "/control")
             co_await control(request, connection);
         else if (path == "/duties")
@@ -200,6 +203,9 @@
         json call = protocol::parse_json(request.body).value_or(json::object());
         call["path"] = request.target;
         call["holder"] = request.header("Auburnweir-Duty-Holder");
+        call["at_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(
+                            transport::now().time_since_epoch())
+                            .count();
         call["fencing"] = request.header("Auburnweir-Fencing-Token");
         duties_.push_back(std::move(call));
         co_await send_status(connection, 200);
@@ -220,6 +226,7 @@
             rows_[{protocol::text_at(row, "table"), protocol::text_at(row, "key")}] = {
                 {}, ++version_, true};
         down_ = protocol::flag_at(*body, "down", down_);
+        delay_ms_ = protocol::integer_at(*body, "delay_ms", delay_ms_);
         lose_answers_ = protocol::integer_at(*body, "lose_answers", lose_answers_);
         if (protocol::flag_at(*body, "drop_history"))
             history_from_ = ++version_;
@@ -232,6 +239,7 @@
     std::uint64_t version_ = 1;
     std::uint64_t history_from_ = 0;
     std::int64_t lose_answers_ = 0;
+    std::int64_t delay_ms_ = 0;
     bool down_ = false;
 };
 
