Keep answering reports after a lost lease; judge readiness by the confirmation's age

Cause 1: a holder that loses its lease while the store is away stopped answering reports at once, although nobody else could take the lease, so all instances kept to their own part of limits for the whole outage. Change 1: it goes on answering, says in its views that it has no lease, and the others look for a new holder at once. A stopping holder gives the lease back. A silent holder is looked after from 1.0 s on (1.5 s before). The new test lets the watch return late and failed before. Change 2: readiness goes by the confirmation's age.

--- a/src/protocol/instance_report_codec.cpp
+++ b/src/protocol/instance_report_codec.cpp
@@ -202,6 +202,7 @@
     out.push_back(view.sequence);
     out.push_back(view.known);
     out.push_back(view.live);
+    out.push_back(view.acting);
     out.push_back(encode_levels(view.levels));
     out.push_back(view.directory ? encode_update(*view.directory) : json::array());
     out.push_back(view.operator_rows ? encode_mark(*view.operator_rows) : json::array());
@@ -217,6 +218,7 @@
     view.sequence = in.number();
     view.known = in.number();
     view.live = in.number();
+    view.acting = in.flag();
     view.levels = read_levels(in.array());
     if (auto const& update = in.array(); !update.empty())
         view.directory = read_update(update);
--- a/src/state/deployment_view.hpp
+++ b/src/state/deployment_view.hpp
@@ -18,12 +18,13 @@
 /// The response of the holder of the duties to an instance's report.
 struct deployment_view
 {
-    usage_writer from;                         ///< the holder's life
-    std::uint64_t sequence = 0;                ///< of the report that it answers
-    std::uint64_t known = 1;                   ///< instances, the silent ones included
-    std::uint64_t live = 1;                    ///< instances that were heard lately
-    quota_levels levels;                       ///< as the holder sees them, that report included
-    std::optional<directory_update> directory; ///< null before the holder has read it
+    usage_writer from;          ///< the holder's life
+    std::uint64_t sequence = 0; ///< of the report that it answers
+    std::uint64_t known = 1;    ///< instances, the silent ones included
+    std::uint64_t live = 1;     ///< instances that were heard lately
+    bool acting = true;         ///< it has the lease; else another holder should be looked for
+    quota_levels levels;        ///< as the holder sees them, that report included
+    std::optional<directory_update> directory;            ///< null before the holder has read it
     std::optional<operator_rows_mark> operator_rows;      ///< null before the holder has read them
     std::optional<std::chrono::milliseconds> wall_offset; ///< true time less the store's clock
 
--- a/src/state/route_table.hpp
+++ b/src/state/route_table.hpp
@@ -41,11 +41,10 @@
 
     /// The store said in answer to a question of `asked_at`, to this instance or to the holder of
     /// the duties, that nothing newer is known.
-    void confirm(time_point asked_at, time_point heard_at)
+    void confirm(time_point asked_at)
     {
         ranked_lock lock(mutex_);
         confirmed_at_ = std::max(confirmed_at_, asked_at);
-        heard_at_ = std::max(heard_at_, heard_at);
     }
 
     /// The routes in force; null before the first.
@@ -64,21 +63,11 @@
         return now - confirmed_at_;
     }
 
-    /// How long no confirmation was heard; longer than any bound before the first.
-    duration silence(time_point now) const
-    {
-        ranked_lock lock(mutex_);
-        if (heard_at_ == time_point{})
-            return std::chrono::hours{1};
-        return now - heard_at_;
-    }
-
 private:
     mutable ranked_mutex mutex_{lock_rank::configuration};
     route_set_ptr routes_;
     row_version newest_;
     time_point confirmed_at_{};
-    time_point heard_at_{};
 };
 
 } // namespace auburnweir::state
--- a/src/transport/duty_runner.cpp
+++ b/src/transport/duty_runner.cpp
@@ -24,13 +24,13 @@
 constexpr state::duration clock_bound = std::chrono::milliseconds{200};
 
 /// Silence of the holder after which its row is read.
-constexpr state::duration holder_silence = std::chrono::milliseconds{1500};
+constexpr state::duration holder_silence = std::chrono::milliseconds{1000};
 
 /// Looks at the row are spread over this time, so that a lost holder is not followed by a herd.
-constexpr state::duration look_spread = std::chrono::milliseconds{1000};
+constexpr state::duration look_spread = std::chrono::milliseconds{600};
 
 /// Pause between two looks while nothing changes.
-constexpr state::duration look_pause = std::chrono::milliseconds{700};
+constexpr state::duration look_pause = std::chrono::milliseconds{600};
 
 /// Time in which engines that run at the start have listed themselves.
 constexpr state::duration listing_time = std::chrono::seconds{5};
@@ -85,15 +85,12 @@
              {"why", std::string{why}}});
     held_.reset();
     placed_.clear();
-    peers_.follow_nobody();
+    peers_.step_down();
 }
 
 bool duty_runner::wants_to_look() const
 {
-    auto const time = now();
-    if (time < look_at_)
-        return false;
-    return peers_.holder().empty() || peers_.silence() > holder_silence;
+    return now() >= look_at_ && peers_.needs_holder(holder_silence);
 }
 
 net::awaitable<void> duty_runner::run()
@@ -108,9 +105,19 @@
         else if (wants_to_look())
             co_await look_for_holder();
     }
+    co_await release();
     lose("stopping");
 }
 
+net::awaitable<void> duty_runner::release()
+{
+    if (!held_)
+        co_return;
+    auto record = held_->record;
+    record.lease.until = context_.clock.store_earliest();
+    co_await save(std::move(record));
+}
+
 net::awaitable<void> duty_runner::look_for_holder()
 {
     std::uniform_int_distribution<std::int64_t> spread(0, look_spread.count());
--- a/src/transport/duty_runner.hpp
+++ b/src/transport/duty_runner.hpp
@@ -36,6 +36,7 @@
 
     net::awaitable<void> run();
     net::awaitable<void> look_for_holder();
+    net::awaitable<void> release();
     net::awaitable<void> take(coordination::duty_record record, state::row_version version);
     net::awaitable<void> hold();
     net::awaitable<bool> save(coordination::duty_record record);
--- a/src/transport/gateway_server.cpp
+++ b/src/transport/gateway_server.cpp
@@ -34,7 +34,8 @@
 /// Part of the grace that is kept in hand before the kill.
 constexpr state::duration grace_margin = std::chrono::milliseconds{400};
 
-/// Share of the revocation bound after which a silent store makes other instances the better ones.
+/// Share of the revocation bound from which on other instances, whose configuration is known to be
+/// fresher, are the better ones.
 constexpr double ready_share_of_bound = 0.55;
 
 constexpr int status_ok = 200;
@@ -126,8 +127,7 @@
 {
     if (phase != stop_phase::running || !watch.complete())
         return false;
-    auto const silence = tables.routes.silence(now());
-    return silence.count() <
+    return tables.routes.age(now()).count() <
            ready_share_of_bound * static_cast<double>(settings.revocation_bound.count());
 }
 
@@ -174,7 +174,7 @@
     status.failure_domain = settings.failure_domain;
     status.ready = is_ready();
     status.stopping = phase != stop_phase::running;
-    status.holds_duties = peers.holds_duties();
+    status.holds_duties = peers.leads();
     status.duties_holder = peers.holder();
     status.routes = tables.routes.current();
     status.now = now();
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -105,6 +105,7 @@
     followed_ = {};
     followed_.id = std::move(holder);
     followed_.peer_address = std::move(address);
+    acting_ = true;
     answered_at_ = now();
 }
 
@@ -115,14 +116,30 @@
     std::lock_guard lock(mutex_);
     followed_ = {};
     followed_.id = context_.settings.id;
+    acting_ = true;
     inherited_ = known_;
     leads_since_ = now();
 }
 
+void peer_exchange::step_down()
+{
+    std::lock_guard lock(mutex_);
+    acting_ = false;
+}
+
 void peer_exchange::follow_nobody()
 {
     std::lock_guard lock(mutex_);
     followed_ = {};
+    acting_ = false;
+}
+
+bool peer_exchange::needs_holder(state::duration limit) const
+{
+    std::lock_guard lock(mutex_);
+    if (followed_.id.empty() || !acting_)
+        return true;
+    return followed_.id != context_.settings.id && now() - answered_at_ > limit;
 }
 
 state::instance_id peer_exchange::holder() const
@@ -262,7 +279,7 @@
 
 void peer_exchange::take_report(connection_number via, state::instance_report report)
 {
-    if (!holds_duties())
+    if (!leads())
         return;
     state::usage_writer const writer{report.id, report.life};
     context_.tables.quotas.charge(writer, report.uses, now());
@@ -287,6 +304,7 @@
     if (context_.tables.routes.current())
         view.operator_rows = {context_.tables.routes.newest(), context_.tables.routes.age(now())};
     std::lock_guard lock(mutex_);
+    view.acting = acting_;
     view.known = known_;
     view.live = live_;
     return view;
@@ -296,7 +314,7 @@
 {
     // The view was made after the report was sent, so the holder's question is at least this late.
     if (mark.newest <= context_.tables.routes.newest())
-        context_.tables.routes.confirm(reported_at - mark.age, now());
+        context_.tables.routes.confirm(reported_at - mark.age);
 }
 
 void peer_exchange::take_view(state::deployment_view const& view)
@@ -307,6 +325,7 @@
         if (view.from.id != followed_.id)
             return;
         answered_at_ = now();
+        acting_ = view.acting;
         known_ = view.known;
         auto const sent = std::find_if(
             sent_.begin(), sent_.end(),
--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -31,15 +31,22 @@
     /// From now on this instance answers reports.
     void lead();
 
+    /// This instance has lost the lease. It goes on answering until another holder is known, and
+    /// tells the others to look for one.
+    void step_down();
+
     /// No holder is known.
     void follow_nobody();
 
     /// The holder that is followed, or this instance; empty when none is known.
     state::instance_id holder() const;
-    bool holds_duties() const { return holder() == context_.settings.id; }
 
-    /// How long the holder that is followed has not answered.
-    state::duration silence() const;
+    /// The others report to this instance.
+    bool leads() const { return holder() == context_.settings.id; }
+
+    /// Whether another holder should be looked for: none is known, or the one that is followed has
+    /// no lease or has not answered for `silence`.
+    bool needs_holder(state::duration silence) const;
 
 private:
     net::awaitable<void> count_instances();
@@ -47,6 +54,7 @@
     void report_if_low();
     void see(std::uint64_t live, std::uint64_t known, state::duration valid);
     state::duration view_validity() const;
+    state::duration silence() const;
     void tick_as_holder();
     void tick_as_follower(state::instance const& to);
     state::instance_report own_report(bool with_details);
@@ -72,7 +80,8 @@
     mutable std::mutex mutex_;
     state::instance followed_; ///< empty when none is known
     state::time_point answered_at_{};
-    state::usage_writer fed_by_;              ///< holder whose directory updates were applied last
+    bool acting_ = false;        ///< the holder that is followed, or this instance, has the lease
+    state::usage_writer fed_by_; ///< holder whose directory updates were applied last
     state::directory_version fed_version_{0}; ///< in its count
     std::deque<sent_report> sent_;
     std::uint64_t known_ = 0;     ///< instances, by the last view or by their rows
--- a/src/transport/store_watch.cpp
+++ b/src/transport/store_watch.cpp
@@ -109,7 +109,7 @@
 state::duration store_watch::confirmation_age() const
 {
     auto const own = context_.settings.confirmation_age;
-    if (!peers_.holds_duties())
+    if (!peers_.leads())
         return own;
     return std::chrono::duration_cast<state::duration>(own * holder_share);
 }
@@ -147,7 +147,7 @@
     take_operator_rows(listing);
     operator_since_ = std::max(operator_since_, listing.version);
     if (have_routes_)
-        context_.tables.routes.confirm(listing.asked, listing.received);
+        context_.tables.routes.confirm(listing.asked);
     note(configuration_reachable_, "configuration", std::nullopt);
 }
 
--- a/tests/integration/gateway_shared_test.cpp
+++ b/tests/integration/gateway_shared_test.cpp
@@ -87,6 +87,18 @@
         [&] { return system.send("/once/x", "o2", with_key("key-2")).status == 200; }, 3000));
 }
 
+TEST_F(gateway_shared_test, late_answer_of_a_held_watch_does_not_make_an_instance_ready)
+{
+    gateway_deployment::control(system.store(), {{"down", true}});
+    std::this_thread::sleep_for(std::chrono::milliseconds{4500});
+    EXPECT_FALSE(system.ready(0));
+    // The watch was asked for before the outage, and what it says is as old.
+    json const row{{"table", "op"}, {"key", "unrelated"}, {"value", "{}"}};
+    gateway_deployment::control(system.store(), {{"put", json::array({row})}});
+    std::this_thread::sleep_for(std::chrono::milliseconds{300});
+    EXPECT_FALSE(system.ready(0));
+}
+
 TEST_F(gateway_shared_test, limit_of_an_organisation_holds_over_all_gateways)
 {
     int granted = 0;
--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -96,8 +96,7 @@
         auto const stamp = r.reply.header("Auburnweir-Instance-Stamp");
         if (stamp.find("." + r.id) == std::string::npos)
             report("MIXED stamp '" + stamp + "'", r);
-        bool const streamed =
-            r.kind == request_kind::resumable || r.kind == request_kind::flow;
+        bool const streamed = r.kind == request_kind::resumable || r.kind == request_kind::flow;
         if (streamed && r.reply.body != expected_stream())
             report("ORDER '" + r.reply.body + "'", r);
         if (!streamed && r.reply.parsed().value("echo", std::string{}) != "order " + r.id)
@@ -159,8 +158,7 @@
                 sent.push_back(r.sent);
         std::sort(sent.begin(), sent.end());
         auto const seconds = std::chrono::duration<double>(quota_window).count();
-        auto const allowed =
-            (limited_rate * seconds + limited_rate) * quota_overrun + quota_slack;
+        auto const allowed = (limited_rate * seconds + limited_rate) * quota_overrun + quota_slack;
         std::size_t first = 0;
         for (std::size_t last = 0; last < sent.size(); ++last)
         {
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -76,7 +76,8 @@
     harm_link link()
     {
         auto const kind = static_cast<link_kind>(below(3));
-        auto const index = kind == link_kind::gateway_to_backend ? below(size_.backends) : gateway();
+        auto const index =
+            kind == link_kind::gateway_to_backend ? below(size_.backends) : gateway();
         return {kind, index, static_cast<link_fault>(below(5)), length()};
     }
 
@@ -120,8 +121,10 @@
                 return std::string{link_names[index(f.kind)]} + " " + std::to_string(f.index) +
                        " " + link_fault_names[index(f.fault)] + lasting(f.for_ms);
             },
-            [&](harm_store const& f)
-            { return std::string{"store "} + store_fault_names[index(f.fault)] + lasting(f.for_ms); },
+            [&](harm_store const& f) {
+                return std::string{"store "} + store_fault_names[index(f.fault)] +
+                       lasting(f.for_ms);
+            },
             [&](harm_backend const& f)
             {
                 return "backend " + std::to_string(f.backend) + " " +
--- a/tests/soak/soak_plan.hpp
+++ b/tests/soak/soak_plan.hpp
@@ -14,7 +14,7 @@
 {
     int gateways = 4;
     int backends = 4;
-    int callers = 10;     ///< threads that send requests one after the other
+    int callers = 10;      ///< threads that send requests one after the other
     int length_ms = 15000; ///< of the time with faults
 };
 
@@ -48,10 +48,10 @@
 enum class link_fault : std::uint8_t
 {
     delayed,
-    reset,    ///< what is open is cut
-    refused,  ///< cut, and nothing new is accepted
-    silent,   ///< nothing passes in either direction
-    one_way,  ///< answers do not pass
+    reset,   ///< what is open is cut
+    refused, ///< cut, and nothing new is accepted
+    silent,  ///< nothing passes in either direction
+    one_way, ///< answers do not pass
 };
 
 /// A fault of the proxy between two processes.
--- a/tests/soak/soak_record.hpp
+++ b/tests/soak/soak_record.hpp
@@ -65,12 +65,12 @@
 {
     std::mutex mutex;
     std::vector<seen_request> requests;
-    std::map<std::string, moment> withdrawn;      ///< keys, and when that was acknowledged
-    std::vector<moment> added_routes;             ///< by number, when that was acknowledged
+    std::map<std::string, moment> withdrawn; ///< keys, and when that was acknowledged
+    std::vector<moment> added_routes;        ///< by number, when that was acknowledged
     std::vector<drained_backend> drained;
-    std::vector<span> disturbed;                  ///< faults of processes, links and the store
+    std::vector<span> disturbed;                       ///< faults of processes, links and the store
     std::map<std::string, std::vector<moment>> thawed; ///< by gateway
-    std::vector<std::string> violations;          ///< found on the way
+    std::vector<std::string> violations;               ///< found on the way
 
     // Read at the end.
     std::vector<std::map<std::string, int>> runs; ///< by backend, how often each request ran
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -206,9 +206,10 @@
 
 void soak_world::place_one(harm_link const& f)
 {
-    auto const route = f.kind == link_kind::gateway_to_store     ? deployment_.store_route(f.index)
-                       : f.kind == link_kind::gateway_to_backend ? deployment_.backend_route(f.index)
-                                                                 : deployment_.caller_route(f.index);
+    auto const route = f.kind == link_kind::gateway_to_store ? deployment_.store_route(f.index)
+                       : f.kind == link_kind::gateway_to_backend
+                           ? deployment_.backend_route(f.index)
+                           : deployment_.caller_route(f.index);
     json harm;
     json heal;
     switch (f.fault)
