Begin an instance's part of limits full once the size is known

Ruled out: confirmations through the holder (no refusals of its own in the store's partial outage from 2.5 to 11.5 s beyond those of the code before). Change: a bucket begins with the instance's part of the limit and the reserve as soon as the rows of the store tell how many instances there are, which is now looked at with the first answer and not at the next report period.

--- a/src/coordination/shared_quota.cpp
+++ b/src/coordination/shared_quota.cpp
@@ -52,6 +52,11 @@
     return alone_reserve * b.rate;
 }
 
+double shared_quota::full_part(bucket const& b) const
+{
+    return own_part() * (b.capacity + reserve(b));
+}
+
 shared_quota::bucket& shared_quota::bucket_of(
     state::organisation_quota const& quota, state::time_point now)
 {
@@ -63,8 +68,9 @@
     b.capacity = std::max(quota.burst, quota.rate_per_second);
     if (!added)
         return b;
-    // A bucket begins nearly empty: an earlier life and the others may have used it up just before.
+    // A bucket begins with the own part alone: the others may have used up the rest just before.
     b.level = own_part() * b.capacity;
+    b.part = full_part(b);
     b.filled_at = now;
     return b;
 }
@@ -78,9 +84,8 @@
     look(now);
     auto& b = bucket_of(quota, now);
     // A request larger than the bucket passes when the bucket is full, and leaves a debt.
-    auto const needed = alone_
-                            ? std::min(early_grant * cost, own_part() * (b.capacity + reserve(b)))
-                            : std::min(cost, b.capacity);
+    auto const needed =
+        alone_ ? std::min(early_grant * cost, full_part(b)) : std::min(cost, b.capacity);
     auto& left = alone_ ? b.part : b.level;
     if (left >= needed && (alone_ || is_fair(b, cost)))
     {
@@ -132,8 +137,7 @@
     auto const elapsed = seconds(now - b.filled_at);
     b.filled_at = now;
     if (alone_)
-        b.part = std::min(
-            own_part() * (b.capacity + reserve(b)), b.part + own_part() * b.rate * elapsed);
+        b.part = std::min(full_part(b), b.part + own_part() * b.rate * elapsed);
     else
         b.level = std::min(b.capacity, b.level + seen_ * b.rate * elapsed);
 }
@@ -171,7 +175,11 @@
     look(now);
     for (auto& [id, b] : buckets_)
         fill(b, now);
+    bool const size_is_news = own_ == 0;
     own_ = own;
+    for (auto& [id, b] : buckets_)
+        if (size_is_news)
+            b.part = full_part(b);
     seen_ = part;
     seen_until_ = until;
     if (alone_ && until > now)
--- a/src/coordination/shared_quota.hpp
+++ b/src/coordination/shared_quota.hpp
@@ -107,6 +107,7 @@
     void fill(bucket& b, state::time_point now) const;
     bool is_fair(bucket const& b, double cost) const;
     double own_part() const;
+    double full_part(bucket const& b) const;
     static double reserve(bucket const& b);
 
     double used_part_;
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -86,8 +86,14 @@
             co_await sleep_for(io, pause_after_fault);
             listing = co_await store.read_table(own.table, limit);
         }
-        std::lock_guard lock(mutex_);
-        known_ = std::max<std::uint64_t>(known_, listing.value().rows.size());
+        std::uint64_t known = 0;
+        {
+            std::lock_guard lock(mutex_);
+            known_ = std::max<std::uint64_t>(known_, listing.value().rows.size());
+            known = followed_.id.empty() ? known_ : 0;
+        }
+        if (known > 0)
+            see(1, known, state::duration::zero());
     }
 }
 
--- a/tests/unit/shared_quota_test.cpp
+++ b/tests/unit/shared_quota_test.cpp
@@ -88,6 +88,15 @@
     EXPECT_FALSE(granted(quota, rate / 10));
 }
 
+TEST_F(shared_quota_test, bucket_of_a_started_instance_begins_with_its_part_once_the_size_is_known)
+{
+    shared_quota quota;
+    EXPECT_FALSE(granted(quota, 50));
+    quota.see(0.1, now, 0.1, now);
+    EXPECT_TRUE(granted(quota, 150));
+    EXPECT_FALSE(granted(quota, 50));
+}
+
 TEST_F(shared_quota_test, charge_of_another_instance_lowers_the_level_by_the_increase)
 {
     shared_quota holder;
