--- a/src/coordination/shared_quota.cpp
+++ b/src/coordination/shared_quota.cpp
@@ -70,7 +70,7 @@
         return b;
     // A bucket begins with the own part alone: the others may have used up the rest just before.
     b.level = own_part() * b.capacity;
-    b.part = full_part(b);
+    b.part = own_ > 0 ? full_part(b) : 0;
     b.filled_at = now;
     return b;
 }
