Confirm the configuration when the history is dropped under a held watch

By their logs the history was dropped while the store held the watch; the look at the configuration's age got "history dropped" and left it to the watch, which returned up to 15 s later. Change: that look reads the whole table then. Also: the soak's processes end with it.

--- a/src/transport/store_watch.cpp
+++ b/src/transport/store_watch.cpp
@@ -126,8 +126,11 @@
         auto const age = context_.tables.routes.age(now());
         if (!watch_held_ || age < confirmation_age())
             continue;
-        auto const got = co_await store.changes(
+        auto got = co_await store.changes(
             table, operator_since_, state::duration::zero(), settings.store_timeout);
+        // The held watch need not notice that the history it waits for was dropped.
+        if (!got && got.error() == store_fault::history_dropped)
+            got = co_await store.read_table(table, settings.store_timeout);
         if (got)
         {
             pause = {};
@@ -135,9 +138,7 @@
             continue;
         }
         pause.next();
-        // Dropped history shows at the watch too, which then reads the whole table.
-        if (got.error() != store_fault::history_dropped)
-            note(configuration_reachable_, "configuration", got.error());
+        note(configuration_reachable_, "configuration", got.error());
     }
 }
 
--- a/tests/integration/gateway_shared_test.cpp
+++ b/tests/integration/gateway_shared_test.cpp
@@ -87,6 +87,18 @@
         [&] { return system.send("/once/x", "o2", with_key("key-2")).status == 200; }, 3000));
 }
 
+TEST_F(gateway_shared_test, history_that_is_dropped_under_a_held_watch_leaves_all_ready)
+{
+    gateway_deployment::control(system.store(), {{"drop_history", true}});
+    std::this_thread::sleep_for(std::chrono::milliseconds{5000});
+    for (int i = 0; i < 3; ++i)
+    {
+        EXPECT_TRUE(system.ready(i));
+        auto const id = "d" + std::to_string(i);
+        EXPECT_EQ(system.send("/once/x", id, with_key("key-2"), i).status, 200);
+    }
+}
+
 TEST_F(gateway_shared_test, late_answer_of_a_held_watch_does_not_make_an_instance_ready)
 {
     gateway_deployment::control(system.store(), {{"down", true}});
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -2,9 +2,11 @@
 #include "programs/program_support.hpp"
 #include "soak/soak_callers.hpp"
 
+#include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <map>
+#include <unistd.h>
 
 /// Runs real gateways under random faults and holds the promises of the public pages against what
 /// callers and backends saw. The same seed places the same faults at the same times.
@@ -24,6 +26,12 @@
     std::vector<std::string> broken;
 };
 
+/// The processes of a run end with this one: they are of its process group.
+void end_group(int)
+{
+    kill(0, SIGKILL);
+}
+
 outcome run_seed(std::uint64_t seed, soak_size const& size, std::string const& logs)
 {
     auto const plan = plan_faults(seed, size);
@@ -73,6 +81,9 @@
         return programs::exit_usage;
     }
     size.length_ms = seconds * 1000;
+    setpgid(0, 0);
+    signal(SIGTERM, end_group);
+    signal(SIGINT, end_group);
     int failed = 0;
     for (int seed = first; seed < first + count; ++seed)
     {
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -95,6 +95,14 @@
         run_endings(now() + step);
 }
 
+void soak_world::for_a_time(
+    int ms, json const& harm, json const& heal, std::function<void(json const&)> const& set)
+{
+    set(harm);
+    if (!heal.is_null())
+        after(ms, [set, heal] { set(heal); });
+}
+
 void soak_world::run_endings(moment until)
 {
     while (now() < until)
@@ -235,9 +243,7 @@
         break;
     }
     disturb(f.for_ms);
-    deployment_.harm(route, harm);
-    if (!heal.is_null())
-        after(f.for_ms, [this, route, heal] { deployment_.harm(route, heal); });
+    for_a_time(f.for_ms, harm, heal, [this, route](json const& b) { deployment_.harm(route, b); });
 }
 
 void soak_world::place_one(harm_store const& f)
@@ -263,9 +269,9 @@
         break;
     }
     disturb(f.for_ms);
-    gateway_deployment::control(deployment_.store(), harm);
-    if (!heal.is_null())
-        after(f.for_ms, [this, heal] { gateway_deployment::control(deployment_.store(), heal); });
+    for_a_time(
+        f.for_ms, harm, heal,
+        [this](json const& b) { gateway_deployment::control(deployment_.store(), b); });
 }
 
 void soak_world::place_one(harm_backend const& f)
@@ -295,10 +301,10 @@
         heal = {{"delay_ms", 0}};
         break;
     }
-    gateway_deployment::control(deployment_.backend(f.backend), harm);
-    after(
-        f.for_ms,
-        [this, f, heal] { gateway_deployment::control(deployment_.backend(f.backend), heal); });
+    for_a_time(
+        f.for_ms, harm, heal,
+        [this, f](json const& b)
+        { gateway_deployment::control(deployment_.backend(f.backend), b); });
 }
 
 void soak_world::place_one(drain_backend const& f)
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -54,6 +54,10 @@
     void place_one(change_key const& f);
     void place_one(add_route const& f);
 
+    /// Sets a fault now, and what ends it later; some end by themselves.
+    void for_a_time(
+        int ms, tests::json const& harm, tests::json const& heal,
+        std::function<void(tests::json const&)> const& set);
     void after(int ms, std::function<void()> undo);
     void run_endings(moment until);
     void disturb(int ms);
