Order on-demand engines as soon as one failure domain was reclaimed

Change: while one domain is short, the largest other one does not count as lasting, and on-demand engines fill up to 0.8 of the operators' number (0.6 before), so they run when the next reclaim comes.

--- a/src/coordination/fleet_planner.cpp
+++ b/src/coordination/fleet_planner.cpp
@@ -52,6 +52,7 @@
     fleet_counts plan;
     std::int64_t base_total = 0;
     std::int64_t lasting_total = 0; // what stays when the plan is carried out
+    std::int64_t largest_ready = 0; // reclaimable engines of one domain
     std::vector<fleet_group> short_of;
     for (auto const& domain : domains_by_price(service))
     {
@@ -68,9 +69,14 @@
         plan[fixed] = settings.on_demand_kept;
         auto const spot_ready = std::min(count_of(ready, spot), plan[spot]);
         lasting_total += spot_ready + plan[fixed];
+        largest_ready = std::max(largest_ready, spot_ready);
         if (spot_ready < plan[spot])
             short_of.push_back(fixed);
     }
+    // Reclaims come in series: while one domain is short, the next may follow before an engine that
+    // is ordered then has started.
+    if (short_of.size() == 1)
+        lasting_total -= largest_ready;
     auto const needed = static_cast<std::int64_t>(
         std::ceil(settings.needed_share * static_cast<double>(base_total)));
     auto missing = std::max<std::int64_t>(0, needed - lasting_total);
--- a/src/coordination/fleet_planner.hpp
+++ b/src/coordination/fleet_planner.hpp
@@ -14,7 +14,7 @@
 struct fleet_settings
 {
     double reclaimable_factor = 1.7; ///< reclaimable engines for each that the operators began with
-    double needed_share = 0.6; ///< of the operators' number, below which on-demand ones fill up
+    double needed_share = 0.8; ///< of the operators' number, below which on-demand ones fill up
     std::int64_t on_demand_kept = 0; ///< on-demand engines in each failure domain at all times
 };
 
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -206,6 +206,16 @@
     EXPECT_EQ(planned(ready, "c", false), 0);
 }
 
+TEST_F(fleet_planner_test, plan_after_one_reclaim_is_ready_for_the_next)
+{
+    state::fleet_counts ready;
+    ready[group("a", true)] = 5;
+    ready[group("b", true)] = 5;
+    // Ten are left and six are needed; after the next reclaim five would be.
+    EXPECT_EQ(on_demand(ready), 1);
+    EXPECT_EQ(planned(ready, "c", false), 1);
+}
+
 TEST_F(fleet_planner_test, plan_stays_within_the_bounds_of_both_kinds_together)
 {
     settings.needed_share = 3;
