Bound what a server may send: bytes, events, interim responses, time

Cause: a server in trouble may send bytes that are no answer without end. Events without an end grew a buffer that was searched from its start at each read; sixteen MiB a response had no common limit; any byte counted as progress of a stream. Change: one deadline for a body; a full buffer ends a response; 1xx are skipped, three at most; events have 256 KiB at most and are searched once; only events count as progress; buffered bodies share a quarter of memory_limit_mb, with reasons and counters; a refused attempt's body is not waited for; an exception on the links' thread no longer ends the process.

--- a/src/coordination/attempt_policy.cpp
+++ b/src/coordination/attempt_policy.cpp
@@ -78,6 +78,14 @@
                     attempt.timed_out ? refusal_reason::deadline_exceeded
                                       : refusal_reason::backend_failed,
                     give_up_cause(progress, limits, budget_left)};
+            },
+            [&](attempt_unbuffered const&) -> attempt_decision
+            {
+                if (can_retry && may_execute_again(progress))
+                    return retry_elsewhere{retry_reason::response_memory_exhausted};
+                return reply_outcome_unknown{
+                    refusal_reason::response_memory_exhausted,
+                    give_up_cause(progress, limits, budget_left)};
             }},
         failed);
 }
--- a/src/coordination/attempt_policy.hpp
+++ b/src/coordination/attempt_policy.hpp
@@ -27,7 +27,13 @@
     bool timed_out = false;
 };
 
-using failed_attempt_kind = std::variant<attempt_failed, attempt_not_run, attempt_lost>;
+/// The memory budget had no room for the response: the request may have been executed.
+struct attempt_unbuffered
+{
+};
+
+using failed_attempt_kind =
+    std::variant<attempt_failed, attempt_not_run, attempt_lost, attempt_unbuffered>;
 
 /// State of a request's attempts.
 struct attempt_progress
--- a/src/protocol/gateway_settings.cpp
+++ b/src/protocol/gateway_settings.cpp
@@ -11,6 +11,8 @@
 
 using settings = gateway_settings;
 
+constexpr std::int64_t bytes_per_megabyte = 1'000'000;
+
 option_table<settings> const& gateway_options()
 {
     static option_table<settings> const table{
@@ -43,6 +45,12 @@
             "log_level", "minimum severity of logged events", "info",
             {"debug", "info", "warning", "error"}, &settings::log_level),
         count_option("workers", "worker threads", "1", 1, 64, &settings::workers),
+        number_option<std::int64_t, settings>(
+            "memory_limit_mb",
+            "memory of this process; bodies of requests and responses use up to a quarter of it",
+            "256", 16, 1000000,
+            [](settings& s, std::int64_t v)
+            { s.memory_limit = state::byte_count{v * bytes_per_megabyte}; }),
         number_option<double, settings>(
             "repeat_ratio", "retries per request, over all instances", "0.2", 0.0, 1.0,
             [](settings& s, double v) { s.repeat_ratio = v; }),
@@ -58,6 +66,10 @@
         milliseconds_option(
             "configuration_bound_ms", "maximum time until a new configuration is applied", "3000",
             100, 600000, &settings::configuration_bound),
+        milliseconds_option(
+            "drain_bound_ms",
+            "maximum time until a backend server that leaves gets no more requests", "3000", 100,
+            600000, &settings::drain_bound),
         seconds_option(
             "stop_grace_s", "time between the order to stop and the forced kill", "8", 0.0, 600.0,
             &settings::stop_grace),
@@ -78,8 +90,8 @@
             "confirmation age of the configuration from which the store is queried again", "1900",
             10, 600000, &settings::confirmation_age),
         milliseconds_option(
-            "directory_period_ms", "interval between checks for changed backend servers", "700", 50,
-            60000, &settings::directory_period),
+            "directory_period_ms", "minimum interval between checks for changed backend servers",
+            "700", 50, 60000, &settings::directory_period),
         milliseconds_option(
             "report_period_ms", "interval between reports to the other instances", "300", 50, 60000,
             &settings::report_period),
--- a/src/protocol/gateway_settings.hpp
+++ b/src/protocol/gateway_settings.hpp
@@ -30,11 +30,13 @@
     std::string log_level;
 
     std::int64_t workers = 0;
+    state::byte_count memory_limit;
     double repeat_ratio = 0;
     double repeat_slack = 0;
     state::duration repeat_window{0};
     state::duration revocation_bound{0};
     state::duration configuration_bound{0};
+    state::duration drain_bound{0};
     state::duration stop_grace{0};
     state::duration usage_window{0};
     state::duration lease_bound{0};
--- a/src/protocol/problem.cpp
+++ b/src/protocol/problem.cpp
@@ -53,6 +53,7 @@
         return 431;
     case r::backend_failed:
     case r::outcome_unknown:
+    case r::response_memory_exhausted:
         return 502;
     case r::deadline_exceeded:
         return 504;
@@ -63,6 +64,7 @@
     case r::configuration_unknown:
     case r::configuration_stale:
     case r::backend_full:
+    case r::request_memory_exhausted:
     case r::count_:
         break;
     }
--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -9,21 +9,41 @@
 {
 constexpr std::array<std::string_view, static_cast<std::size_t>(refusal_reason::count_)>
     refusal_reason_names{
-        "malformed_request",    "unauthorised",      "unknown_service",
-        "unknown_operation",    "unknown_request",   "header_too_large",
-        "body_too_large",       "sender_too_slow",   "queue_full",
-        "deadline_unreachable", "deadline_exceeded", "no_backend",
-        "backend_failed",       "store_unavailable", "key_reused",
-        "key_in_flight",        "outcome_unknown",   "request_id_in_use",
-        "resume_point_unknown", "stopping",          "caller_left",
-        "unknown_route",        "quota_exceeded",    "configuration_unknown",
-        "configuration_stale",  "backend_full",
+        "malformed_request",
+        "unauthorised",
+        "unknown_service",
+        "unknown_operation",
+        "unknown_request",
+        "header_too_large",
+        "body_too_large",
+        "sender_too_slow",
+        "queue_full",
+        "deadline_unreachable",
+        "deadline_exceeded",
+        "no_backend",
+        "backend_failed",
+        "store_unavailable",
+        "key_reused",
+        "key_in_flight",
+        "outcome_unknown",
+        "request_id_in_use",
+        "resume_point_unknown",
+        "stopping",
+        "caller_left",
+        "unknown_route",
+        "quota_exceeded",
+        "configuration_unknown",
+        "configuration_stale",
+        "backend_full",
+        "request_memory_exhausted",
+        "response_memory_exhausted",
     };
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(retry_reason::count_)>
     retry_reason_names{
-        "connect_failed", "backend_overloaded", "backend_error",      "stream_cut",
-        "stream_stalled", "backend_leaving",    "not_run_by_backend", "other_backend_at_address",
+        "connect_failed",     "backend_overloaded",       "backend_error",
+        "stream_cut",         "stream_stalled",           "backend_leaving",
+        "not_run_by_backend", "other_backend_at_address", "response_memory_exhausted",
     };
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(give_up_reason::count_)>
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -36,6 +36,8 @@
     configuration_unknown,
     configuration_stale,
     backend_full,
+    request_memory_exhausted,
+    response_memory_exhausted,
     count_
 };
 
@@ -50,6 +52,7 @@
     backend_leaving,
     not_run_by_backend,
     other_backend_at_address,
+    response_memory_exhausted,
     count_
 };
 
--- a/src/transport/chat_driver.cpp
+++ b/src/transport/chat_driver.cpp
@@ -31,7 +31,7 @@
 constexpr int http_too_many_requests = 429;
 constexpr int min_server_error_status = 500;
 constexpr int http_service_unavailable = 503;
-constexpr std::size_t max_remaining_stream_bytes = 65536;
+constexpr state::byte_count max_remaining_stream{65536};
 constexpr double min_elapsed_seconds = 0.001;
 
 std::string prompt_text(state::chat_request const& request)
@@ -454,7 +454,10 @@
         co_return std::nullopt;
     // Tokens that the engine sent before it stopped are part of the exported state.
     protocol::sse_parser parser;
-    auto const rest = co_await stream.read_rest(max_remaining_stream_bytes, read_timeout());
+    body_limits limits;
+    limits.size = max_remaining_stream;
+    limits.timeout = read_timeout();
+    auto const rest = co_await stream.read_rest(limits);
     if (rest && parser.feed(rest.value()))
         (void)handle_events(parser, token);
     co_return handle.value();
--- a/src/transport/event_splitter.hpp
+++ b/src/transport/event_splitter.hpp
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace auburnweir::transport
 {
@@ -11,36 +12,61 @@
 class event_splitter
 {
 public:
-    void feed(std::string_view bytes) { buffer_.append(bytes); }
+    /// Maximum length of an event, in bytes.
+    static constexpr std::size_t max_event_bytes = 256UL * 1024;
+
+    /// Adds received bytes.
+    /// @return false when an event without an end is longer than `max_event_bytes`
+    bool feed(std::string_view bytes)
+    {
+        // An event's end may be split over two reads, so the last buffered byte is searched again.
+        auto const unsearched = buffer_.empty() ? 0 : buffer_.size() - 1;
+        buffer_.append(bytes);
+        auto const end = std::string_view{buffer_}.substr(unsearched).rfind(event_end);
+        if (end != std::string_view::npos)
+            complete_ = unsearched + end + event_end.size();
+        return buffer_.size() - complete_ <= max_event_bytes;
+    }
 
     /// Removes and returns the complete events that are buffered; empty when there is none.
     std::string take_complete_events()
     {
-        auto const end = buffer_.rfind("\n\n");
-        if (end == std::string::npos)
-            return {};
-        std::string events = buffer_.substr(0, end + 2);
-        buffer_.erase(0, end + 2);
-        record_last_id(events);
+        std::string events = buffer_.substr(0, complete_);
+        buffer_.erase(0, complete_);
+        complete_ = 0;
+        inspect_lines(events);
         return events;
     }
 
     /// Removes and returns the bytes after the last complete event. At the end of a stream they
     /// belong to the response, although they are no event.
-    std::string take_remainder() { return std::exchange(buffer_, {}); }
+    std::string take_remainder()
+    {
+        complete_ = 0;
+        return std::exchange(buffer_, {});
+    }
 
     /// Id of the last complete event; empty before the first.
     std::string const& last_id() const { return last_id_; }
 
+    /// Whether the last call of `take_complete_events` returned more than comments, which servers
+    /// send to keep a connection open.
+    bool last_had_content() const { return last_had_content_; }
+
 private:
-    void record_last_id(std::string_view events)
+    static constexpr std::string_view event_end = "\n\n";
+
+    void inspect_lines(std::string_view events)
     {
         constexpr std::string_view field = "id:";
+        last_had_content_ = false;
         for (std::size_t begin = 0; begin < events.size();)
         {
             auto const end = events.find('\n', begin);
             auto line = events.substr(begin, end - begin);
             begin = end == std::string_view::npos ? events.size() : end + 1;
+            bool const is_comment = line.starts_with(':');
+            last_had_content_ = last_had_content_ || !(line.empty() || is_comment);
             if (!line.starts_with(field))
                 continue;
             line.remove_prefix(field.size());
@@ -51,7 +77,9 @@
     }
 
     std::string buffer_;
+    std::size_t complete_ = 0; ///< length of the complete events at the start of `buffer_`
     std::string last_id_;
+    bool last_had_content_ = false;
 };
 
 } // namespace auburnweir::transport
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -18,9 +18,6 @@
 using state::retry_reason;
 using state::server_outcome;
 
-/// Size limit of a response that is buffered before it is sent to the caller.
-constexpr std::size_t max_buffered_response_bytes = 16 * 1024 * 1024;
-
 /// Pooled connections that were idle for longer are not used for requests that must not run twice:
 /// if the server closes the connection at that moment, it is unknown whether it got the request.
 constexpr state::duration max_idle_for_at_most_once = std::chrono::milliseconds{1000};
@@ -291,7 +288,7 @@
         context_.tables.servers.record_load(server.listed.id, *backend_values.load, now());
     if (backend_values.not_run)
     {
-        (void)co_await response.read_rest(max_buffered_response_bytes, time_left());
+        co_await response.discard_rest();
         end_attempt(server, server_outcome::refused);
         bool const misdirected = status == status_misdirected;
         co_await handle_failed_attempt(
@@ -313,7 +310,7 @@
         end_attempt(server, server_outcome::failed);
         if (retry_is_allowed)
         {
-            (void)co_await response.read_rest(max_buffered_response_bytes, time_left());
+            co_await response.discard_rest();
             context_.tables.counters.increment(retry_reason::backend_error);
             log_attempt(server, "status_" + std::to_string(status), "send_again");
             co_return;
@@ -358,10 +355,16 @@
             end_attempt(server, server_outcome::abandoned);
         break;
     case relay_result::interrupted:
+    case relay_result::malformed:
         if (!failed)
             end_attempt(server, server_outcome::failed);
         co_await handle_failed_attempt(server, attempt_lost{false});
         break;
+    case relay_result::out_of_memory:
+        if (!failed)
+            end_attempt(server, server_outcome::abandoned);
+        co_await handle_failed_attempt(server, coordination::attempt_unbuffered{});
+        break;
     case relay_result::timed_out:
         if (!failed)
             end_attempt(server, server_outcome::unreachable);
--- a/src/transport/gateway_connection.cpp
+++ b/src/transport/gateway_connection.cpp
@@ -17,6 +17,12 @@
 
 constexpr std::size_t max_lingering_bytes = 8 * 1024 * 1024;
 
+/// Received bytes beyond a request's header that are buffered before they are parsed.
+constexpr std::size_t read_ahead_bytes = 64UL * 1024;
+
+/// Retry-After of requests that are refused because bodies of other requests use the memory.
+constexpr state::duration retry_delay_without_memory = std::chrono::milliseconds{500};
+
 auto redirect_error_to(error_code& error)
 {
     return net::redirect_error(net::use_awaitable, error);
@@ -100,6 +106,7 @@
     request_parser parser;
     parser.header_limit(static_cast<std::uint32_t>(caller_limits.header.count()));
     parser.body_limit(static_cast<std::uint64_t>(caller_limits.body.count()));
+    buffer_.max_size(static_cast<std::size_t>(caller_limits.header.count()) + read_ahead_bytes);
     read_timeout_.begin(caller_limits.header_timeout);
     error_code error;
     co_await http::async_read_header(stream_, buffer_, parser, redirect_error_to(error));
@@ -108,6 +115,15 @@
     auto const arrived_at = now();
     if (!error && !has_unambiguous_framing(parser.get()))
         error = http::error::bad_transfer_encoding;
+    state::memory_reservation body_memory(context_.tables.buffer_memory);
+    if (!error && !body_memory.try_grow(buffered_body_size(parser)))
+    {
+        protocol::problem p;
+        p.reason = state::refusal_reason::request_memory_exhausted;
+        p.retry_after = retry_delay_without_memory;
+        co_await refuse(std::move(p));
+        co_return false;
+    }
     if (!error)
         error = co_await read_body(parser);
     if (error)
@@ -123,6 +139,18 @@
     co_return true;
 }
 
+state::byte_count gateway_connection::buffered_body_size(request_parser const& parser) const
+{
+    if (parser.is_done())
+        return state::byte_count{0};
+    auto const limit = limits().body;
+    auto const length = parser.content_length();
+    // A longer body is refused before it is read.
+    if (!length || *length > static_cast<std::uint64_t>(limit.count()))
+        return limit;
+    return state::byte_count{static_cast<std::int64_t>(*length)};
+}
+
 net::awaitable<error_code> gateway_connection::read_body(request_parser& parser)
 {
     error_code error;
@@ -152,8 +180,15 @@
     protocol::problem p;
     p.reason = refusal_reason_for(error);
     p.detail = error.message();
+    co_await refuse(std::move(p));
+}
+
+net::awaitable<void> gateway_connection::refuse(protocol::problem p)
+{
+    writer_.keep_alive(false);
     context_.tables.counters.increment(p.reason);
-    co_await writer_.send(response_for(p));
+    auto reply = response_for(p);
+    co_await writer_.send(std::move(reply));
 }
 
 net::awaitable<void> gateway_connection::linger()
--- a/src/transport/gateway_connection.hpp
+++ b/src/transport/gateway_connection.hpp
@@ -23,6 +23,8 @@
     net::awaitable<bool> wait_for_request();
     net::awaitable<bool> serve_one();
     net::awaitable<void> refuse_unread(error_code error);
+    net::awaitable<void> refuse(protocol::problem p);
+    state::byte_count buffered_body_size(request_parser const& parser) const;
     net::awaitable<error_code> read_body(request_parser& parser);
     net::awaitable<void> linger();
     state::caller_limits limits() const;
--- a/src/transport/gateway_tables.hpp
+++ b/src/transport/gateway_tables.hpp
@@ -8,6 +8,7 @@
 #include "state/directory_log.hpp"
 #include "state/instance_report_table.hpp"
 #include "state/latency_histogram.hpp"
+#include "state/memory_budget.hpp"
 #include "state/rollout_table.hpp"
 #include "state/route_table.hpp"
 #include "state/server_table.hpp"
@@ -24,6 +25,7 @@
         : quotas(granted_quota_share)
         , retry_budget(retry_limits_for(settings))
         , usage(max_usage_windows)
+        , buffer_memory(state::byte_count{settings.memory_limit.count() / buffer_memory_divisor})
     {
     }
 
@@ -34,6 +36,10 @@
     /// More windows than are due at once with the usual window and delay.
     static constexpr std::size_t max_usage_windows = 12;
 
+    /// The memory limit divided by this is for buffered bodies; connections, tables and the program
+    /// use the rest.
+    static constexpr std::int64_t buffer_memory_divisor = 4;
+
     /// Applies until the number of instances is known.
     static constexpr double initial_retry_slack = 0;
 
@@ -50,6 +56,7 @@
     coordination::retry_budget retry_budget;
     state::usage_table usage;
     state::instance_report_table instance_reports;
+    state::memory_budget buffer_memory;
     state::counters counters;
     state::latency_histogram first_byte_latency;    ///< from arrival to the response's first byte
     state::latency_histogram full_response_latency; ///< from arrival to the response's last byte
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -13,7 +13,14 @@
 
 constexpr std::size_t read_buffer_bytes = 2048;
 constexpr std::size_t max_header_bytes = 16384;
-constexpr std::size_t max_buffered_body_bytes = 64UL * 1024 * 1024;
+
+/// Size limit of a response that `call` buffers. The platform's largest has some 1.4 MB.
+constexpr state::byte_count max_called_body{8LL * 1024 * 1024};
+
+/// Limits of a body that is read only to use its connection again.
+constexpr state::byte_count max_discarded_body{16LL * 1024};
+constexpr state::duration max_discard_time = std::chrono::milliseconds{20};
+
 constexpr std::size_t max_idle_connections_per_endpoint = 64;
 
 /// Completion token that stores the error in `error` instead of throwing.
@@ -30,8 +37,10 @@
 /// Share of the idle time that the server announces in which a connection is still used.
 constexpr double usable_idle_share = 0.5;
 
-/// Late responses that are read and dropped before the call counts as lost.
-constexpr int max_late_responses = 3;
+/// Late and interim responses that are read and dropped before the call counts as lost.
+constexpr int max_dropped_responses = 3;
+
+constexpr int first_final_status = 200;
 
 /// How long an idle connection may be used: from `Keep-Alive: timeout=N`, or an hour without it.
 state::duration max_idle_time_from(http_fields const& headers)
@@ -181,7 +190,11 @@
         co_return beast::error::timeout;
     if (error)
         co_return error;
-    auto const space = c.buffer.prepare(read_buffer_bytes);
+    // A full buffer holds the start of something without end, for example of a chunk's header.
+    auto const free = c.buffer.max_size() - c.buffer.size();
+    if (free == 0)
+        co_return http::error::buffer_overflow;
+    auto const space = c.buffer.prepare(std::min(read_buffer_bytes, free));
     auto const received =
         ::recv(c.stream.socket().native_handle(), space.data(), space.size(), MSG_DONTWAIT);
     if (received > 0)
@@ -216,23 +229,44 @@
     co_return std::string_view{};
 }
 
-net::awaitable<http_result<std::string>> http_stream::read_rest(
-    std::size_t max_bytes, auburnweir::state::duration timeout)
+net::awaitable<http_result<std::string>> http_stream::read_rest(body_limits limits)
 {
+    auto const deadline = now() + limits.timeout;
     std::string body;
     for (;;)
     {
-        auto const chunk = co_await read(timeout);
+        auto const left = deadline - now();
+        if (left <= auburnweir::state::duration::zero())
+            co_return http_error::timed_out;
+        auto const chunk = co_await read(left);
         if (!chunk)
             co_return chunk.error();
         if (chunk.value().empty())
             co_return body;
-        if (body.size() + chunk.value().size() > max_bytes)
+        auto const size = body.size() + chunk.value().size();
+        if (size > static_cast<std::size_t>(limits.size.count()))
             co_return http_error::too_large;
+        if (size > body.capacity())
+        {
+            auto const capacity = std::max(size, 2 * body.capacity());
+            auburnweir::state::byte_count const growth{
+                static_cast<std::int64_t>(capacity - body.capacity())};
+            if (limits.memory && !limits.memory->try_grow(growth))
+                co_return http_error::out_of_memory;
+            body.reserve(capacity);
+        }
         body.append(chunk.value());
     }
 }
 
+net::awaitable<void> http_stream::discard_rest()
+{
+    body_limits limits;
+    limits.size = max_discarded_body;
+    limits.timeout = max_discard_time;
+    (void)co_await read_rest(limits);
+}
+
 http_client::http_client(net::io_context& io)
     : io_(io)
 {
@@ -306,13 +340,17 @@
 }
 
 net::awaitable<http_result<bool>> http_client::read_header(
-    http_stream::state& s, call_policy const& policy)
+    http_stream::state& s, call_policy const& policy, state::time_point deadline)
 {
     auto& c = *s.connection;
     error_code error;
+    c.timeout.begin(deadline - now());
     co_await http::async_read_header(c.stream, c.buffer, s.parser, redirect_error_to(error));
+    bool const timed_out = c.timeout.end();
     if (error)
-        co_return error_for(c.timeout.end());
+        co_return error_for(timed_out);
+    if (s.parser.get().result_int() < first_final_status)
+        co_return false;
     if (!policy.is_response_to_call ||
         policy.is_response_to_call(s.parser.get().result_int(), s.parser.get().base()))
         co_return true;
@@ -325,7 +363,10 @@
             co_return http_error::response_lost;
         if (s.parser.is_done())
             break;
-        error = co_await s.receive(policy.header_timeout);
+        auto const left = deadline - now();
+        if (left <= state::duration::zero())
+            co_return http_error::timed_out;
+        error = co_await s.receive(left);
         if (error)
             co_return error_for(error == beast::error::timeout);
     }
@@ -344,7 +385,7 @@
 net::awaitable<http_result<http_stream>> http_client::open(
     state::endpoint to, http_request request, call_policy policy)
 {
-    auto const started_at = now();
+    auto const deadline = now() + policy.header_timeout;
     auto c =
         policy.use == connection_use::reuse_idle ? take_idle(to, policy.max_idle_time) : nullptr;
     if (!c)
@@ -383,16 +424,13 @@
             });
     bool const response_has_no_body = message.method() == http::verb::head;
     start_write(c, std::move(message));
-    for (int late = 0; late <= max_late_responses; ++late)
+    for (int dropped = 0; dropped <= max_dropped_responses; ++dropped)
     {
         auto s = std::make_unique<http_stream::state>(*this, c);
         s->parser.skip(response_has_no_body);
-        auto const time_left = policy.header_timeout - (now() - started_at);
-        if (time_left <= state::duration::zero())
+        if (now() >= deadline)
             co_return http_error::timed_out;
-        c->timeout.begin(time_left);
-        auto const matched = co_await read_header(*s, policy);
-        c->timeout.end();
+        auto const matched = co_await read_header(*s, policy, deadline);
         if (!matched)
             co_return matched.error();
         if (!matched.value())
@@ -417,7 +455,10 @@
     http_response response;
     response.status = stream.status();
     response.headers = stream.headers();
-    auto rest = co_await stream.read_rest(max_buffered_body_bytes, timeout);
+    body_limits limits;
+    limits.size = max_called_body;
+    limits.timeout = timeout;
+    auto rest = co_await stream.read_rest(limits);
     if (!rest)
         co_return rest.error();
     response.body = std::move(rest.value());
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -2,6 +2,7 @@
 #define AUBURNWEIR_TRANSPORT_HTTP_CLIENT_HPP
 
 #include "state/configuration.hpp"
+#include "state/memory_budget.hpp"
 #include "state/time.hpp"
 #include "transport/asio.hpp"
 
@@ -24,7 +25,8 @@
     connect_failed, ///< nothing was sent
     response_lost,  ///< sent at least in part, without a complete response
     timed_out,      ///< as `response_lost`, because the timeout elapsed
-    too_large       ///< the response is larger than allowed
+    too_large,      ///< the response is larger than allowed
+    out_of_memory   ///< the memory budget has no room for the rest of the response
 };
 
 template <class T>
@@ -102,6 +104,16 @@
     std::shared_ptr<call_cancellation> cancel;
 };
 
+/// Limits for reading the rest of a response's body.
+struct body_limits
+{
+    state::byte_count size;
+    /// For the whole body: bytes that keep arriving do not extend it.
+    state::duration timeout{0};
+    /// Charged with the buffered bytes; null: not charged.
+    state::memory_reservation* memory = nullptr;
+};
+
 /// A response whose body is read while it arrives. Destruction closes the connection unless the
 /// response was read to its end; the backend server treats that as a cancelled request.
 class http_stream
@@ -120,10 +132,12 @@
     /// Reads the next bytes; empty at the end. They are valid until the next call.
     net::awaitable<http_result<std::string_view>> read(auburnweir::state::duration timeout);
 
-    /// Reads the rest of the body, or fails with `too_large` beyond `max_bytes`. `timeout` applies
-    /// to each read.
-    net::awaitable<http_result<std::string>> read_rest(
-        std::size_t max_bytes, auburnweir::state::duration timeout);
+    /// Reads the rest of the body into memory.
+    net::awaitable<http_result<std::string>> read_rest(body_limits limits);
+
+    /// Reads and drops the rest of a short body, so that the connection can be used again. Closes
+    /// the connection instead if the body is not complete soon.
+    net::awaitable<void> discard_rest();
 
 private:
     std::unique_ptr<state> state_;
@@ -136,8 +150,8 @@
     explicit http_client(net::io_context& io);
     ~http_client();
 
-    /// Sends a request and reads the complete response. `timeout` applies to the header and to each
-    /// read of the body.
+    /// Sends a request and reads the complete response. `timeout` applies to the header, and again
+    /// to the whole body.
     net::awaitable<http_result<http_response>> call(
         auburnweir::state::endpoint to, http_request request, auburnweir::state::duration timeout,
         connection_use use = connection_use::reuse_idle);
@@ -171,8 +185,11 @@
     void store_idle(connection_ptr c);
     void start_write(connection_ptr c, http::request<http::string_body> request);
 
-    /// @return false after a late response to an earlier call, which was read and dropped
-    net::awaitable<http_result<bool>> read_header(http_stream::state& s, call_policy const& policy);
+    /// Reads a response header.
+    /// @return false after an interim response, or a late response to an earlier call, which was
+    ///         read and dropped
+    net::awaitable<http_result<bool>> read_header(
+        http_stream::state& s, call_policy const& policy, auburnweir::state::time_point deadline);
 
     net::io_context& io_;
     std::uint64_t connections_opened_ = 0;
--- a/src/transport/operation_caller.cpp
+++ b/src/transport/operation_caller.cpp
@@ -131,6 +131,7 @@
             coordination::backend_response_lost{}, state::retry_reason::stream_stalled};
     case http_error::response_lost:
     case http_error::too_large:
+    case http_error::out_of_memory:
         break;
     }
     co_return attempt_result{
--- a/src/transport/peer_links.cpp
+++ b/src/transport/peer_links.cpp
@@ -39,7 +39,10 @@
     , endpoint_(
           {[this](connection_number n, bool outbound) { on_opened(n, outbound); },
            [this](connection_number n, std::string const& frame) { on_received(n, frame); },
-           [this](connection_number n) { on_closed(n); }},
+           [this](connection_number n) { on_closed(n); },
+           [](std::string const& reason) {
+               log(log_event::handler_failed, {{"reason", reason}});
+           }},
           max_frame_bytes)
 {
 }
--- a/src/transport/response_relay.cpp
+++ b/src/transport/response_relay.cpp
@@ -9,11 +9,31 @@
 {
 
 /// Size limit of a response that is buffered before it is sent to the caller.
-constexpr std::size_t max_buffered_response_bytes = 16 * 1024 * 1024;
+constexpr state::byte_count max_buffered_response{16LL * 1024 * 1024};
 
-/// A stream that is silent for longer resumes at another server if its route permits that.
+/// One response uses at most the memory budget divided by this.
+constexpr std::int64_t response_share_divisor = 4;
+
+/// A stream without an event for longer resumes at another server if its route permits that.
 constexpr state::duration max_stream_silence = std::chrono::milliseconds{1500};
 
+relay_result result_of(http_error error)
+{
+    switch (error)
+    {
+    case http_error::timed_out:
+        return relay_result::timed_out;
+    case http_error::too_large:
+        return relay_result::malformed;
+    case http_error::out_of_memory:
+        return relay_result::out_of_memory;
+    case http_error::connect_failed:
+    case http_error::response_lost:
+        break;
+    }
+    return relay_result::interrupted;
+}
+
 } // namespace
 
 response_relay::response_relay(
@@ -40,12 +60,17 @@
 
 net::awaitable<relay_result> response_relay::relay_buffered(http_stream& response)
 {
-    auto body = co_await response.read_rest(max_buffered_response_bytes, time_left());
+    state::memory_reservation memory(context_.tables.buffer_memory);
+    body_limits limits;
+    auto const share = context_.tables.buffer_memory.capacity().count() / response_share_divisor;
+    limits.size = std::min(max_buffered_response, state::byte_count{share});
+    limits.timeout = time_left();
+    limits.memory = &memory;
+    auto body = co_await response.read_rest(limits);
     if (request_.cancel->cancelled())
         co_return relay_result::caller_left;
     if (!body)
-        co_return body.error() == http_error::timed_out ? relay_result::timed_out
-                                                        : relay_result::interrupted;
+        co_return result_of(body.error());
     auto reply = response_header(response);
     reply.body = std::move(body.value());
     context_.tables.first_byte_latency.record(now() - request_.arrived_at);
@@ -53,42 +78,56 @@
     co_return written ? relay_result::complete : relay_result::caller_left;
 }
 
+net::awaitable<bool> response_relay::begin(http_stream const& response)
+{
+    started_ = true;
+    context_.tables.first_byte_latency.record(now() - request_.arrived_at);
+    auto header = response_header(response);
+    co_return co_await writer_.begin(std::move(header));
+}
+
 net::awaitable<relay_result> response_relay::relay_stream(http_stream& response)
 {
     event_splitter events;
+    auto silent_since = now();
     for (;;)
     {
         auto const left = time_left();
         if (left <= state::duration::zero())
             co_return relay_result::timed_out;
+        auto const silence = now() - silent_since;
+        if (request_.may_resume_elsewhere && silence >= max_stream_silence)
+        {
+            if (request_.may_resume_elsewhere())
+                co_return relay_result::interrupted;
+            silent_since = now();
+            continue;
+        }
         auto const read_timeout =
-            request_.may_resume_elsewhere ? std::min(left, max_stream_silence) : left;
+            request_.may_resume_elsewhere ? std::min(left, max_stream_silence - silence) : left;
         auto const chunk = co_await response.read(read_timeout);
         if (request_.cancel->cancelled())
             co_return relay_result::caller_left;
         if (!chunk)
         {
-            bool const late = time_left() <= state::duration::zero();
-            bool const silent = chunk.error() == http_error::timed_out && !late;
-            if (silent && !request_.may_resume_elsewhere())
+            if (chunk.error() == http_error::timed_out)
                 continue;
+            bool const late = time_left() <= state::duration::zero();
             co_return late ? relay_result::timed_out : relay_result::interrupted;
         }
         bool const ended = chunk.value().empty();
-        events.feed(chunk.value());
+        if (!events.feed(chunk.value()))
+            co_return relay_result::malformed;
         auto ready = events.take_complete_events();
+        if (events.last_had_content())
+            silent_since = now();
         if (ended)
             ready += events.take_remainder();
         if (!events.last_id().empty())
             last_event_id_ = events.last_id();
-        if (!started_ && (!ready.empty() || ended))
-        {
-            started_ = true;
-            context_.tables.first_byte_latency.record(now() - request_.arrived_at);
-            auto header = response_header(response);
-            if (!co_await writer_.begin(std::move(header)))
-                co_return relay_result::caller_left;
-        }
+        bool const starts = !started_ && (!ready.empty() || ended);
+        if (starts && !co_await begin(response))
+            co_return relay_result::caller_left;
         if (!ready.empty() && !co_await writer_.send_chunk(std::move(ready)))
             co_return relay_result::caller_left;
         if (!ended)
--- a/src/transport/response_relay.hpp
+++ b/src/transport/response_relay.hpp
@@ -10,9 +10,11 @@
 /// How the relay of a response ended.
 enum class relay_result : std::uint8_t
 {
-    complete,    ///< the caller received the whole response
-    interrupted, ///< the server's response ended early or was silent for too long
-    timed_out,   ///< the request's deadline passed
+    complete,      ///< the caller received the whole response
+    interrupted,   ///< the server's response ended early or was silent for too long
+    malformed,     ///< the server's response has a part that is longer than allowed
+    out_of_memory, ///< there is no memory left to buffer the server's response
+    timed_out,     ///< the request's deadline passed
     caller_left
 };
 
@@ -33,10 +35,11 @@
 public:
     response_relay(gateway_context& context, response_writer& writer, relayed_request request);
 
-    /// Buffers the whole response before it is sent to the caller.
+    /// Buffers the whole response, within the memory budget, before it is sent to the caller.
     net::awaitable<relay_result> relay_buffered(http_stream& response);
 
-    /// Forwards each event of a stream as soon as it is complete.
+    /// Forwards each event of a stream as soon as it is complete. Only events count as progress: a
+    /// stream that sends other bytes is silent.
     net::awaitable<relay_result> relay_stream(http_stream& response);
 
     /// Whether the header of a streamed response was sent to the caller.
@@ -48,6 +51,7 @@
 private:
     caller_response response_header(http_stream const& response) const;
     state::duration time_left() const;
+    net::awaitable<bool> begin(http_stream const& response);
 
     gateway_context& context_;
     response_writer& writer_;
--- a/src/transport/status_server.cpp
+++ b/src/transport/status_server.cpp
@@ -9,6 +9,7 @@
 constexpr state::duration idle_timeout = std::chrono::seconds{30};
 constexpr state::duration write_timeout = std::chrono::seconds{2};
 constexpr int status_not_found = 404;
+constexpr std::size_t max_request_bytes = 16384;
 
 auto redirect_error_to(error_code& error)
 {
@@ -32,7 +33,7 @@
 net::awaitable<void> status_server::serve(
     std::shared_ptr<beast::tcp_stream> stream, std::shared_ptr<handlers const> by_path)
 {
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(max_request_bytes);
     response_writer writer(*stream, write_timeout);
     io_timeout read_timeout(*stream);
     for (;;)
--- a/src/transport/websocket_endpoint.cpp
+++ b/src/transport/websocket_endpoint.cpp
@@ -60,7 +60,7 @@
 
     void start()
     {
-        thread_ = std::thread([this] { io_.run(); });
+        thread_ = std::thread([this] { run(); });
     }
 
     void stop()
@@ -131,6 +131,22 @@
         bool outbound;
     };
 
+    void run()
+    {
+        for (;;)
+        {
+            try
+            {
+                io_.run();
+                return;
+            }
+            catch (std::exception const& error)
+            {
+                on_.failed(error.what());
+            }
+        }
+    }
+
     connection_number next_number()
     {
         std::lock_guard<std::mutex> lock(number_mutex_);
--- a/src/transport/websocket_endpoint.hpp
+++ b/src/transport/websocket_endpoint.hpp
@@ -25,6 +25,8 @@
         std::function<void(connection_number, bool outbound)> opened;
         std::function<void(connection_number, std::string const& frame)> received;
         std::function<void(connection_number)> closed; ///< also called when connecting failed
+        /// A handler threw an exception; the endpoint goes on.
+        std::function<void(std::string const& reason)> failed;
     };
 
     /// @param max_frame_bytes  size of the largest frame that is accepted
--- /dev/null
+++ b/tests/integration/gateway_trouble_test.cpp
@@ -0,0 +1,133 @@
+#include "support/gateway_deployment.hpp"
+
+#include <future>
+#include <gtest/gtest.h>
+
+namespace auburnweir::tests
+{
+namespace
+{
+
+/// A gateway before two backend servers, of which the first sends bytes that are no answer.
+class gateway_trouble_test : public testing::Test
+{
+protected:
+    static constexpr double memory_limit_megabytes = 32;
+
+    static gateway_deployment_plan plan()
+    {
+        gateway_deployment_plan result;
+        result.settings["memory_limit_mb"] =
+            std::to_string(static_cast<int>(memory_limit_megabytes));
+        return result;
+    }
+
+    /// Makes a backend send `part` without end, in place of its answers.
+    void send_without_end(int backend, std::string const& part, int pause_ms = 0)
+    {
+        gateway_deployment::control(
+            system.backend(backend), {{"endless", part}, {"endless_pause_ms", pause_ms}});
+    }
+
+    /// Sends requests at the same time, with the attempt ids `prefix`0, `prefix`1, ...
+    std::vector<received_response> send_together(
+        std::string const& path, std::string const& prefix, int count)
+    {
+        std::vector<std::future<received_response>> pending;
+        for (int i = 0; i < count; ++i)
+            pending.push_back(std::async(
+                std::launch::async,
+                [&, i] { return system.send_request(path, prefix + std::to_string(i)); }));
+        std::vector<received_response> received;
+        for (auto& p : pending)
+            received.push_back(p.get());
+        return received;
+    }
+
+    static std::string ten_events()
+    {
+        std::string expected;
+        for (int event = 1; event <= 10; ++event)
+            expected +=
+                "id: " + std::to_string(event) + "\ndata: token-" + std::to_string(event) + "\n\n";
+        return expected;
+    }
+
+    gateway_deployment system{plan()};
+};
+
+TEST_F(gateway_trouble_test, stream_whose_event_has_no_end_resumes_elsewhere)
+{
+    send_without_end(0, std::string(4096, 'x'));
+    for (auto const& response : send_together("/stream/x", "e", 4))
+    {
+        EXPECT_EQ(response.status, 200);
+        EXPECT_EQ(response.body, ten_events());
+    }
+    EXPECT_LT(system.gateway(0).resident_megabytes(), memory_limit_megabytes);
+}
+
+TEST_F(gateway_trouble_test, stream_of_single_bytes_without_event_resumes_elsewhere)
+{
+    send_without_end(0, "x", 100);
+    for (auto const& response : send_together("/stream/x", "t", 4))
+    {
+        EXPECT_EQ(response.status, 200);
+        EXPECT_EQ(response.body, ten_events());
+    }
+}
+
+TEST_F(gateway_trouble_test, stream_of_comments_without_event_resumes_elsewhere)
+{
+    send_without_end(0, ": wait\n\n", 100);
+    for (auto const& response : send_together("/stream/x", "k", 4))
+    {
+        EXPECT_EQ(response.status, 200);
+        EXPECT_NE(response.body.find(ten_events()), std::string::npos);
+    }
+}
+
+TEST_F(gateway_trouble_test, refusal_whose_body_has_no_end_is_retried_elsewhere_at_once)
+{
+    gateway_deployment::control(system.backend(0), {{"not_run", true}});
+    send_without_end(0, "x", 50);
+    auto const started_at = std::chrono::steady_clock::now();
+    for (int i = 0; i < 4; ++i)
+        EXPECT_EQ(system.send_request("/once/x", "r" + std::to_string(i)).status, 200);
+    EXPECT_LT(std::chrono::steady_clock::now() - started_at, std::chrono::seconds{1});
+}
+
+TEST_F(gateway_trouble_test, answer_of_single_bytes_ends_at_callers_deadline)
+{
+    send_without_end(0, "x", 50);
+    send_without_end(1, "x", 50);
+    auto const started_at = std::chrono::steady_clock::now();
+    auto const response = system.send_request("/once/x", "a1", {{"Auburnweir-Deadline-Ms", "600"}});
+    EXPECT_EQ(response.status, 504);
+    EXPECT_EQ(response.run_outcome(), "outcome_unknown");
+    EXPECT_LT(std::chrono::steady_clock::now() - started_at, std::chrono::milliseconds{1000});
+}
+
+TEST_F(gateway_trouble_test, answers_without_end_stay_within_memory_limit)
+{
+    send_without_end(0, std::string(4096, 'x'));
+    send_without_end(1, std::string(4096, 'x'));
+    for (auto const& response : send_together("/once/x", "m", 12))
+    {
+        EXPECT_EQ(response.status, 502);
+        EXPECT_EQ(response.run_outcome(), "outcome_unknown");
+    }
+    EXPECT_LT(system.gateway(0).resident_megabytes(), memory_limit_megabytes);
+    EXPECT_GT(
+        system.counter(0, "auburnweir_refusals_total{reason=\"response_memory_exhausted\"}"), 0);
+}
+
+TEST_F(gateway_trouble_test, other_backends_answer_while_one_sends_without_end)
+{
+    send_without_end(0, std::string(4096, 'x'));
+    for (auto const& response : send_together("/safe/x", "s", 6))
+        EXPECT_EQ(response.status, 200);
+}
+
+} // namespace
+} // namespace auburnweir::tests
--- a/tests/integration/http_client_test.cpp
+++ b/tests/integration/http_client_test.cpp
@@ -24,9 +24,11 @@
         std::string body;
     };
 
+    static constexpr auto call_timeout = 2s;
+
     call_outcome call(scripted_server& server, call_policy policy = {})
     {
-        policy.header_timeout = 2s;
+        policy.header_timeout = call_timeout;
         call_outcome result;
         state::endpoint const to{"127.0.0.1", server.port()};
         net::co_spawn(io_, run(to, policy, result), net::detached);
@@ -35,6 +37,21 @@
         return result;
     }
 
+    /// Sends `head`, then `part` every `pause` until the client closes the connection.
+    static void send_without_end(
+        tcp::socket& socket, std::string const& head, std::string const& part,
+        std::chrono::milliseconds pause = 0ms)
+    {
+        scripted_server::read_request_header(socket);
+        boost::system::error_code error;
+        net::write(socket, net::buffer(head), error);
+        while (!error)
+        {
+            net::write(socket, net::buffer(part), error);
+            std::this_thread::sleep_for(pause);
+        }
+    }
+
     /// Accepts only responses with this id.
     static call_policy accept_id(std::string id)
     {
@@ -59,7 +76,10 @@
             co_return;
         }
         result.status = opened.value().status();
-        auto body = co_await opened.value().read_rest(1 << 20, 2s);
+        transport::body_limits limits;
+        limits.size = state::byte_count{1 << 20};
+        limits.timeout = call_timeout;
+        auto body = co_await opened.value().read_rest(limits);
         if (body)
             result.body = body.value();
         else
@@ -121,6 +141,116 @@
     EXPECT_EQ(server.connections(), 2);
 }
 
+TEST_F(http_client_test, header_without_end_is_lost)
+{
+    scripted_server server([](tcp::socket& s)
+                           { send_without_end(s, "HTTP/1.1 200 OK\r\n", "X-More: 1\r\n"); });
+    EXPECT_EQ(call(server).error, http_error::response_lost);
+}
+
+TEST_F(http_client_test, header_line_without_end_is_lost)
+{
+    scripted_server server([](tcp::socket& s)
+                           { send_without_end(s, "HTTP/1.1 200 OK\r\nX: ", "xxxxxxxx"); });
+    EXPECT_EQ(call(server).error, http_error::response_lost);
+}
+
+TEST_F(http_client_test, header_split_at_each_byte_is_read)
+{
+    scripted_server server(
+        [](tcp::socket& s)
+        {
+            scripted_server::read_request_header(s);
+            for (char const c : std::string{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"})
+                scripted_server::send(s, std::string(1, c));
+        });
+    EXPECT_EQ(call(server).body, "ok");
+}
+
+TEST_F(http_client_test, interim_responses_before_response_are_skipped)
+{
+    scripted_server server(
+        [](tcp::socket& s)
+        {
+            scripted_server::read_request_header(s);
+            scripted_server::send(
+                s, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
+                   "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        });
+    auto const result = call(server);
+    EXPECT_EQ(result.status, 200);
+    EXPECT_EQ(result.body, "ok");
+}
+
+TEST_F(http_client_test, interim_responses_without_end_are_lost)
+{
+    scripted_server server([](tcp::socket& s)
+                           { send_without_end(s, "", "HTTP/1.1 100 Continue\r\n\r\n"); });
+    EXPECT_EQ(call(server).error, http_error::response_lost);
+}
+
+TEST_F(http_client_test, chunk_extension_without_end_is_lost)
+{
+    scripted_server server(
+        [](tcp::socket& s) {
+            send_without_end(
+                s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=", "xxxxxxxx");
+        });
+    EXPECT_EQ(call(server).error, http_error::response_lost);
+}
+
+TEST_F(http_client_test, trailer_without_end_is_lost)
+{
+    scripted_server server(
+        [](tcp::socket& s)
+        {
+            send_without_end(
+                s, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: 1\r\n");
+        });
+    EXPECT_EQ(call(server).error, http_error::response_lost);
+}
+
+TEST_F(http_client_test, body_without_end_is_too_large)
+{
+    scripted_server server(
+        [](tcp::socket& s)
+        { send_without_end(s, "HTTP/1.1 200 OK\r\n\r\n", std::string(4096, 'x')); });
+    EXPECT_EQ(call(server).error, http_error::too_large);
+}
+
+TEST_F(http_client_test, body_of_single_bytes_without_end_times_out)
+{
+    scripted_server server([](tcp::socket& s)
+                           { send_without_end(s, "HTTP/1.1 200 OK\r\n\r\n", "x", 100ms); });
+    EXPECT_EQ(call(server).error, http_error::timed_out);
+}
+
+TEST_F(http_client_test, late_response_without_end_times_out)
+{
+    scripted_server server(
+        [](tcp::socket& s)
+        { send_without_end(s, "HTTP/1.1 200 OK\r\nId: old\r\n\r\n", "x", 100ms); });
+    EXPECT_EQ(call(server, accept_id("new")).error, http_error::timed_out);
+}
+
+TEST_F(http_client_test, late_response_on_reused_connection_is_not_the_next_answer)
+{
+    // The second copy of the first answer arrives while the second request waits.
+    scripted_server server(
+        [](tcp::socket& s)
+        {
+            scripted_server::read_request_header(s);
+            scripted_server::send(s, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n\r\na");
+            scripted_server::read_request_header(s);
+            scripted_server::send(s, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1\r\n\r\na");
+            std::this_thread::sleep_for(50ms);
+            scripted_server::send(s, "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1\r\n\r\nb");
+        });
+    EXPECT_EQ(call(server, accept_id("a")).body, "a");
+    EXPECT_EQ(call(server, accept_id("b")).body, "b");
+    EXPECT_EQ(server.connections(), 1);
+}
+
 TEST_F(http_client_test, call_with_refused_connection_is_connect_failure)
 {
     state::endpoint to{"127.0.0.1", 1};
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -116,6 +116,15 @@
         close(output_);
 }
 
+double process::resident_megabytes() const
+{
+    std::ifstream statm("/proc/" + std::to_string(pid_) + "/statm");
+    long total_pages = 0;
+    long resident_pages = 0;
+    statm >> total_pages >> resident_pages;
+    return static_cast<double>(resident_pages * sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
 void process::append_output_to(std::string const& path)
 {
     output_thread_ = std::thread(
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -29,6 +29,9 @@
     /// Process id; -1 after `kill` or `wait_for_exit` has seen the exit.
     int pid() const { return pid_; }
 
+    /// Physical memory that the process uses, in megabytes.
+    double resident_megabytes() const;
+
     /// Appends all further output to a file.
     void append_output_to(std::string const& path);
 
--- a/tests/unit/attempt_policy_test.cpp
+++ b/tests/unit/attempt_policy_test.cpp
@@ -55,6 +55,18 @@
     EXPECT_TRUE(is<retry_elsewhere>(decide_attempt(attempt_lost{}, p, true)));
 }
 
+TEST_F(attempt_policy_test, decide_when_the_response_does_not_fit_retries_only_idempotent_requests)
+{
+    auto const idempotent = after_one_attempt(retry_rule::idempotent, true);
+    EXPECT_TRUE(is<retry_elsewhere>(decide_attempt(attempt_unbuffered{}, idempotent, true)));
+    auto const once = after_one_attempt(retry_rule::at_most_once, true);
+    auto const decision = decide_attempt(attempt_unbuffered{}, once, true);
+    ASSERT_TRUE(is<reply_outcome_unknown>(decision));
+    EXPECT_EQ(
+        std::get<reply_outcome_unknown>(decision).reason,
+        state::refusal_reason::response_memory_exhausted);
+}
+
 TEST_F(attempt_policy_test, decide_when_the_attempts_are_exhausted_gives_up)
 {
     auto p = after_one_attempt(retry_rule::idempotent, true);
--- a/tools/standins/routed_backend.cpp
+++ b/tools/standins/routed_backend.cpp
@@ -1,6 +1,7 @@
 #include "http_standin.hpp"
 
 #include <map>
+#include <optional>
 
 /// Stand-in for a backend server behind the gateway.
 ///
@@ -14,6 +15,13 @@
 using namespace auburnweir;
 using namespace auburnweir::standins;
 
+/// Bytes that are sent until the caller closes the connection.
+struct endless_bytes
+{
+    std::string part;
+    std::chrono::milliseconds pause;
+};
+
 class routed_backend
 {
 public:
@@ -67,7 +75,10 @@
         if (not_run_ || (!expected_id.empty() && expected_id != id_))
         {
             auto response = not_executed_response(not_run_ ? 503 : 421);
-            co_await connection.writer.send(std::move(response));
+            if (endless_)
+                co_await send_without_end(std::move(response), connection);
+            else
+                co_await connection.writer.send(std::move(response));
             co_return;
         }
         runs_[attempt] = runs_.value(attempt, 0) + 1;
@@ -79,6 +90,12 @@
             connection.reset();
             co_return;
         }
+        if (endless_)
+        {
+            auto response = make_response(request, status_);
+            co_await send_without_end(std::move(response), connection);
+            co_return;
+        }
         if (request.target.find("/stream/") != std::string::npos && status_ == 200)
         {
             co_await stream_events(request, connection);
@@ -89,6 +106,19 @@
         co_await connection.writer.send(std::move(response));
     }
 
+    net::awaitable<void> send_without_end(
+        transport::caller_response response, standin_connection& connection)
+    {
+        auto const bytes = *endless_;
+        bool open = co_await connection.writer.begin(std::move(response));
+        while (open)
+        {
+            open = co_await connection.writer.send_chunk(bytes.part);
+            co_await transport::sleep_for(io_, bytes.pause);
+        }
+        connection.reset();
+    }
+
     net::awaitable<void> stream_events(
         standin_request const& request, standin_connection& connection)
     {
@@ -138,6 +168,10 @@
         cut_after_ = protocol::integer_at(*body, "cut_after", cut_after_);
         not_run_ = protocol::flag_at(*body, "not_run", not_run_);
         cut_ = protocol::flag_at(*body, "cut", cut_);
+        if (body->contains("endless"))
+            endless_ = endless_bytes{
+                protocol::text_at(*body, "endless"),
+                std::chrono::milliseconds{protocol::integer_at(*body, "endless_pause_ms", 0)}};
         co_await send_status(connection, 200);
     }
 
@@ -152,6 +186,7 @@
     std::int64_t cut_after_ = 0;
     bool not_run_ = false;
     bool cut_ = false;
+    std::optional<endless_bytes> endless_;
 };
 
 } // namespace
