--- a/src/protocol/instance_report_codec.cpp
+++ b/src/protocol/instance_report_codec.cpp
@@ -23,8 +23,7 @@
 {
     return json::array(
         {s.id.str(), s.incarnation.count(), s.service.str(), s.address.host, s.address.port,
-         s.failure_domain.str(), s.version.str(), s.slots, s.draining, s.reclaimable,
-         s.warm_up_time_left.count()});
+         s.failure_domain.str(), s.version.str(), s.slots, s.draining, s.reclaimable});
 }
 
 state::listed_server read_server(json const& from)
@@ -40,7 +39,6 @@
     s.slots = in.integer();
     s.draining = in.flag();
     s.reclaimable = in.flag();
-    s.warm_up_time_left = state::duration{in.integer()};
     return s;
 }
 
@@ -164,6 +162,7 @@
     out.push_back(report.stopping);
     out.push_back(report.directory.count());
     out.push_back(report.directory_holder.count());
+    out.push_back(report.digest.count());
     out.push_back(report.isolated);
     out.push_back(encode_uses(report.uses));
     if (!report.details)
@@ -184,6 +183,7 @@
     report.stopping = in.flag();
     report.directory = state::directory_version{in.unsigned_integer()};
     report.directory_holder = state::incarnation_number{in.unsigned_integer()};
+    report.digest = state::directory_digest{in.unsigned_integer()};
     report.isolated = in.flag();
     report.uses = read_uses(in.array());
     if (in.at_end())
--- a/src/state/instance_report.hpp
+++ b/src/state/instance_report.hpp
@@ -50,7 +50,8 @@
     bool stopping = false;
     directory_version directory{0};         ///< last directory update applied; 0: none
     incarnation_number directory_holder{0}; ///< incarnation of the holder that assigned `directory`
-    bool isolated = false; ///< gets no response from a holder and grants only its local shares
+    directory_digest digest{0}; ///< of the instance's directory, from whatever source it has it
+    bool isolated = false;      ///< gets no response from a holder and grants only its local shares
     quota_uses uses;
     std::optional<instance_details> details;
 
--- a/src/state/server_table.hpp
+++ b/src/state/server_table.hpp
@@ -25,7 +25,6 @@
     std::int64_t slots = 1;
     bool draining = false;
     bool reclaimable = false;
-    duration warm_up_time_left{0}; ///< the server is slow for this long
 
     friend bool operator==(listed_server const&, listed_server const&) = default;
 };
--- a/src/transport/duty_runner.cpp
+++ b/src/transport/duty_runner.cpp
@@ -1,6 +1,7 @@
 #include "transport/duty_runner.hpp"
 
 #include "coordination/fleet_planner.hpp"
+#include "coordination/store_pacing.hpp"
 #include "protocol/duty_record_codec.hpp"
 #include "transport/async_signal.hpp"
 #include "transport/log.hpp"
@@ -26,8 +27,10 @@
 /// Silence of the holder after which the lease row is read.
 constexpr state::duration max_holder_silence = std::chrono::milliseconds{1000};
 
-/// Random delay of lookups, so that the loss of a holder does not make all instances read at once.
-constexpr state::duration lookup_jitter = std::chrono::milliseconds{600};
+/// Range of the random delay of lookups, by the number of instances, so that the loss of a holder
+/// does not make all instances read at once.
+constexpr state::duration shortest_lookup_jitter = std::chrono::milliseconds{600};
+constexpr state::duration longest_lookup_jitter = std::chrono::milliseconds{1500};
 
 /// Minimum interval between two lookups.
 constexpr state::duration lookup_interval = std::chrono::milliseconds{600};
@@ -97,6 +100,7 @@
 {
     auto& io = context_.workers.at(0).io();
     started_at_ = now();
+    next_lookup_at_ = now() + lookup_jitter();
     while (context_.phase == stop_phase::running)
     {
         co_await sleep_for(io, check_interval);
@@ -120,8 +124,7 @@
 
 net::awaitable<void> duty_runner::find_holder()
 {
-    std::uniform_int_distribution<std::int64_t> jitter(0, lookup_jitter.count());
-    next_lookup_at_ = now() + lookup_interval + state::duration{jitter(random_)};
+    next_lookup_at_ = now() + lookup_interval + lookup_jitter();
     auto& store = context_.ports.store;
     table_name const table{duty_table_name};
     std::string const key{duty_key};
@@ -152,7 +155,28 @@
     if (new_lease)
         co_await acquire_lease(std::move(record), lease_listing.rows.front().version);
     else
-        peers_.follow(record.lease.holder, record.holder_address);
+        follow(record);
+}
+
+void duty_runner::follow(coordination::duty_record const& record)
+{
+    // The row can't change hands before the lease ends, unless its holder releases it and says so.
+    bool const is_silent_holder = peers_.holder() == record.lease.holder;
+    peers_.follow(record.lease.holder, record.holder_address);
+    if (!is_silent_holder)
+        return;
+    state::duration const left =
+        record.lease.until - context_.clock.store_earliest() + max_clock_error;
+    auto const lease_ends_at = now() + std::max(left, state::duration::zero());
+    next_lookup_at_ = std::max(next_lookup_at_, lease_ends_at + lookup_jitter());
+}
+
+state::duration duty_runner::lookup_jitter()
+{
+    auto const range = coordination::paced_interval(
+        shortest_lookup_jitter, longest_lookup_jitter, peers_.instance_count());
+    std::uniform_int_distribution<std::int64_t> jitter(0, range.count());
+    return state::duration{jitter(random_)};
 }
 
 net::awaitable<void> duty_runner::acquire_lease(
--- a/src/transport/duty_runner.hpp
+++ b/src/transport/duty_runner.hpp
@@ -36,6 +36,8 @@
 
     net::awaitable<void> run();
     net::awaitable<void> find_holder();
+    void follow(coordination::duty_record const& record);
+    state::duration lookup_jitter();
     net::awaitable<void> release_lease();
     net::awaitable<void> acquire_lease(
         coordination::duty_record record, state::row_version version);
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -79,10 +79,12 @@
         co_await sleep_for(io, store_retry_delay);
     }
     // Rows of an earlier start give the number of instances at once. At the first start the other
-    // instances need time to write theirs.
+    // instances need time to write theirs, unless a holder has counted them meanwhile.
     for (auto const pause : {state::duration::zero(), startup_registration_time})
     {
         co_await sleep_for(io, pause);
+        if (holder_rows())
+            co_return;
         auto listing = co_await store.read_table(registration.table, timeout);
         while (!listing)
         {
@@ -116,6 +118,7 @@
     holder_.id = std::move(holder);
     holder_.peer_address = std::move(address);
     holder_has_lease_ = true;
+    holder_rows_.reset();
     last_response_at_ = now();
 }
 
@@ -126,6 +129,7 @@
     std::lock_guard lock(mutex_);
     holder_ = {};
     holder_.id = context_.settings.id;
+    holder_rows_.reset();
     holder_has_lease_ = true;
     instances_before_takeover_ = known_instances_;
     holder_since_ = now();
@@ -141,6 +145,7 @@
 {
     std::lock_guard lock(mutex_);
     holder_ = {};
+    holder_rows_.reset();
     holder_has_lease_ = false;
 }
 
@@ -164,6 +169,21 @@
     return now() - last_response_at_;
 }
 
+std::optional<state::operator_rows_status> peer_exchange::holder_rows() const
+{
+    std::lock_guard lock(mutex_);
+    auto const silence = now() - last_response_at_;
+    if (!holder_rows_ || silence > max_silent_periods * context_.settings.report_period)
+        return std::nullopt;
+    return state::operator_rows_status{holder_rows_->newest, holder_rows_->age + silence};
+}
+
+std::uint64_t peer_exchange::instance_count() const
+{
+    std::lock_guard lock(mutex_);
+    return known_instances_;
+}
+
 void peer_exchange::tick()
 {
     state::instance holder;
@@ -273,6 +293,7 @@
         if (pending_reports_.size() > max_pending_reports)
             pending_reports_.pop_front();
     }
+    report.digest = context_.tables.directory_log.digest();
     report.isolated = context_.tables.quotas.is_isolated(now());
     report.uses = context_.tables.quotas.begin_report(report.sequence, now());
     if (!with_details)
@@ -313,9 +334,7 @@
     response.sequence = report.sequence;
     response.levels = context_.tables.quotas.issue_levels(now());
     response.wall_offset = context_.clock.agreed_offset();
-    bool const is_own_version = report.directory_holder == context_.incarnation;
-    response.directory = context_.tables.directory_log.since(
-        is_own_version ? report.directory : state::directory_version{0}, now());
+    response.directory = update_for(report);
     if (context_.tables.routes.current())
         response.operator_rows = {
             context_.tables.routes.newest(), context_.tables.routes.age(now())};
@@ -326,6 +345,25 @@
     return response;
 }
 
+std::optional<state::directory_update> peer_exchange::update_for(
+    state::instance_report const& report)
+{
+    auto const& log = context_.tables.directory_log;
+    // An instance that has its directory from the store or from an earlier holder usually has the
+    // same content as one of the latest versions here.
+    auto base = log.version_with(report.digest);
+    if (report.directory_holder == context_.incarnation)
+        base = report.directory;
+    std::optional<state::directory_update> update;
+    if (base)
+        update = log.changes_since(*base, now());
+    if (!update)
+        update = log.full_copy(now());
+    if (update && !bulk_updates_.try_send(report.id, update->listed.size(), now()))
+        update.reset();
+    return update;
+}
+
 void peer_exchange::confirm_configuration(
     state::operator_rows_status const& holder_rows, state::time_point reported_at)
 {
@@ -345,6 +383,7 @@
         last_response_at_ = now();
         holder_has_lease_ = response.holds_lease;
         known_instances_ = response.instance_count;
+        holder_rows_ = response.operator_rows;
         auto const pending = std::find_if(
             pending_reports_.begin(), pending_reports_.end(),
             [&](pending_report const& report) { return report.sequence == response.sequence; });
--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -1,6 +1,7 @@
 #ifndef AUBURNWEIR_TRANSPORT_PEER_EXCHANGE_HPP
 #define AUBURNWEIR_TRANSPORT_PEER_EXCHANGE_HPP
 
+#include "coordination/bulk_update_limiter.hpp"
 #include "transport/directory_sync.hpp"
 #include "transport/peer_links.hpp"
 
@@ -48,6 +49,13 @@
     /// responded for `max_silence`.
     bool needs_holder(state::duration max_silence) const;
 
+    /// What the holder last reported about the operator's rows, with its age now; null when it has
+    /// not responded lately.
+    std::optional<state::operator_rows_status> holder_rows() const;
+
+    /// Known number of instances, including this one; 0 when it is not known yet.
+    std::uint64_t instance_count() const;
+
 private:
     net::awaitable<void> register_and_count_instances();
     void tick();
@@ -60,6 +68,7 @@
     void tick_as_follower(state::instance const& holder);
     state::instance_report make_report(bool with_details);
     state::report_response response_to(state::instance_report const& report);
+    std::optional<state::directory_update> update_for(state::instance_report const& report);
     void handle_report(connection_number via, state::instance_report report);
     void handle_report_response(state::report_response const& response);
     void confirm_configuration(
@@ -86,6 +95,8 @@
     state::instance_incarnation directory_source_;  ///< sender of the last applied directory update
     state::directory_version directory_version_{0}; ///< counted by `directory_source_`
     std::deque<pending_report> pending_reports_;
+    std::optional<state::operator_rows_status> holder_rows_; ///< as of `last_response_at_`
+    coordination::bulk_update_limiter bulk_updates_;         ///< used on the links' thread only
     std::uint64_t known_instances_ = 0; ///< by the last report response or by the instances' rows
     std::uint64_t live_instances_ = 1;  ///< maintained by the holder
     std::uint64_t instances_before_takeover_ = 0; ///< known when this instance became the holder
--- a/src/transport/store_watch.cpp
+++ b/src/transport/store_watch.cpp
@@ -1,5 +1,6 @@
 #include "transport/store_watch.hpp"
 
+#include "coordination/store_pacing.hpp"
 #include "transport/async_signal.hpp"
 #include "transport/log.hpp"
 
@@ -12,9 +13,16 @@
 namespace
 {
 
-/// Delays after failed calls to the store. They are short compared with the bounds of freshness.
+/// Delay after the first failed call to the store.
 constexpr state::duration min_retry_delay = std::chrono::milliseconds{150};
-constexpr state::duration max_retry_delay = std::chrono::milliseconds{600};
+
+/// Range of the delay to which the delays grow, by the number of instances. Short compared with the
+/// bounds of freshness.
+constexpr state::duration shortest_max_retry_delay = std::chrono::milliseconds{600};
+constexpr state::duration longest_max_retry_delay = std::chrono::milliseconds{1800};
+
+/// Reads of the directory within the time in which a leaving server must get no more requests.
+constexpr int directory_reads_per_drain_bound = 3;
 
 /// The holder confirms at this share of the age at which the followers do, so that its report
 /// responses reach them before they ask the store.
@@ -29,7 +37,10 @@
 public:
     bool active() const { return next_ != min_retry_delay; }
 
-    state::duration next() { return std::exchange(next_, std::min(2 * next_, max_retry_delay)); }
+    state::duration next(state::duration max_delay)
+    {
+        return std::exchange(next_, std::min(2 * next_, max_delay));
+    }
 
 private:
     state::duration next_ = min_retry_delay;
@@ -80,10 +91,20 @@
     retry_backoff backoff;
     for (;;)
     {
+        if (holder_watches_rows())
+        {
+            co_await sleep_for(io_, check_interval);
+            continue;
+        }
         store_result<row_listing> listing = store_error::unreachable;
-        // After an error the first response must not be delayed: it shows that the store is
-        // available again.
-        auto const wait = backoff.active() ? state::duration::zero() : settings.watch_wait;
+        // After an error, or without the holder, the first response must not be delayed: it shows
+        // that the store is available, and confirms the configuration.
+        bool const confirmed =
+            !routes_were_read_ || context_.tables.routes.age(now()) < confirmation_age();
+        bool const holder_has_news = peers_.holder_rows().has_value();
+        auto const wait = backoff.active() || !confirmed || holder_has_news
+                              ? state::duration::zero()
+                              : settings.watch_wait;
         watch_is_pending_ = !read_whole_table && wait > state::duration::zero();
         if (read_whole_table)
             listing = co_await store.read_table(table, settings.store_timeout);
@@ -95,15 +116,42 @@
         {
             read_whole_table = read_whole_table || listing.error() == store_error::history_dropped;
             record_reachability(configuration_reachable_, "configuration", listing.error());
-            co_await sleep_for(io_, backoff.next());
+            co_await sleep_for(io_, backoff.next(max_retry_delay()));
             continue;
         }
         backoff = {};
         read_whole_table = false;
         apply_operator_listing(listing.value());
+        if (holder_has_news)
+            co_await sleep_for(io_, check_interval);
     }
 }
 
+/// Whether the holder's report responses tell this instance of new rows, so that it need not watch
+/// them: they are recent, and this instance has applied what the holder has.
+bool store_watch::holder_watches_rows() const
+{
+    auto const rows = peers_.holder_rows();
+    return routes_were_read_ && rows && rows->age < confirmation_age() &&
+           rows->newest <= context_.tables.routes.newest();
+}
+
+state::duration store_watch::directory_period() const
+{
+    // The others rely on the reads of the holder.
+    if (peers_.is_holder())
+        return context_.settings.directory_period;
+    return coordination::paced_interval(
+        context_.settings.directory_period,
+        context_.settings.drain_bound / directory_reads_per_drain_bound, peers_.instance_count());
+}
+
+state::duration store_watch::max_retry_delay() const
+{
+    return coordination::paced_interval(
+        shortest_max_retry_delay, longest_max_retry_delay, peers_.instance_count());
+}
+
 state::duration store_watch::confirmation_age() const
 {
     auto const followers_age = context_.settings.confirmation_age;
@@ -120,7 +168,10 @@
     retry_backoff backoff;
     for (;;)
     {
-        co_await sleep_for(io_, backoff.active() ? backoff.next() : check_interval);
+        auto delay = check_interval;
+        if (backoff.active())
+            delay = backoff.next(max_retry_delay());
+        co_await sleep_for(io_, delay);
         auto const age = context_.tables.routes.age(now());
         if (!watch_is_pending_ || age < confirmation_age())
             continue;
@@ -135,7 +186,7 @@
             apply_operator_listing(listing.value());
             continue;
         }
-        backoff.next();
+        backoff.next(max_retry_delay());
         record_reachability(configuration_reachable_, "configuration", listing.error());
     }
 }
@@ -234,7 +285,10 @@
                 directory_.record_store_error();
             record_reachability(directory_reachable_, "directory", listing.error());
         }
-        co_await sleep_for(io_, listing ? settings.directory_period : backoff.next());
+        auto delay = directory_period();
+        if (!listing)
+            delay = backoff.next(max_retry_delay());
+        co_await sleep_for(io_, delay);
     }
 }
 
--- a/src/transport/store_watch.hpp
+++ b/src/transport/store_watch.hpp
@@ -27,6 +27,9 @@
     void apply_rollout(requested_rollout const& rollout);
     void apply_configuration(std::string const& text);
     state::duration confirmation_age() const;
+    bool holder_watches_rows() const;
+    state::duration directory_period() const;
+    state::duration max_retry_delay() const;
     void record_reachability(
         bool& reachable, std::string_view watch, std::optional<store_error> error);
 
--- a/tests/integration/gateway_shared_test.cpp
+++ b/tests/integration/gateway_shared_test.cpp
@@ -30,7 +30,7 @@
         p.gateways = 3;
         p.organisations =
             json::array({organisation("acme", "key-1", 40), organisation("other", "key-2", 0)});
-        p.settings = {{"usage_window_s", "1"}};
+        p.settings = {{"usage_window_s", "1"}, {"watch_wait_ms", "1000"}};
         return p;
     }
 
@@ -76,6 +76,45 @@
         3000));
 }
 
+/// Three gateways in calm, with a watch that the store ends every second.
+class gateway_calm_test : public gateway_shared_test
+{
+protected:
+    gateway_calm_test() { system.wait_until_ready(); }
+
+    static constexpr auto observed_time = std::chrono::seconds{5};
+};
+
+TEST_F(gateway_calm_test, holder_confirms_configuration_before_followers_ask)
+{
+    ASSERT_TRUE(eventually([&] { return holder_index() >= 0; }, 5000));
+    // The holder confirms at 0.6 of the age at which the others query the store themselves, and
+    // checks every 0.2 s.
+    constexpr double max_age_seconds = 0.6 * 1.9 + 0.2 + 0.15;
+    auto const until = std::chrono::steady_clock::now() + observed_time;
+    while (std::chrono::steady_clock::now() < until)
+    {
+        EXPECT_LT(
+            system.counter(holder_index(), "auburnweir_configuration_age_seconds"),
+            max_age_seconds);
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+    }
+}
+
+TEST_F(gateway_calm_test, followers_do_not_call_the_store)
+{
+    ASSERT_TRUE(eventually([&] { return holder_index() >= 0; }, 5000));
+    // A watch that began before the holder was known ends.
+    std::this_thread::sleep_for(std::chrono::seconds{2});
+    std::map<int, double> calls;
+    for (int i = 0; i < 3; ++i)
+        calls[i] = system.counter(i, "auburnweir_store_calls_total");
+    std::this_thread::sleep_for(observed_time);
+    calls.erase(holder_index());
+    for (auto const& [follower, before] : calls)
+        EXPECT_EQ(system.counter(follower, "auburnweir_store_calls_total"), before);
+}
+
 TEST_F(gateway_shared_test, keyed_request_during_store_outage_beyond_bound_is_refused)
 {
     gateway_deployment::control(system.store(), {{"down", true}});
