Spread the requests of a domain whose engines were reclaimed

Cause: an instance sends to its own failure domain while an engine there is not full by its own few requests, which is always. Change: a domain keeps the share of its requests that its engines can take; the rest, chosen by the prompt so that all instances agree, goes to all domains.

--- a/src/coordination/server_choice.cpp
+++ b/src/coordination/server_choice.cpp
@@ -1,5 +1,6 @@
 #include "coordination/server_choice.hpp"
 
+#include "coordination/domain_spillover.hpp"
 #include "coordination/rendezvous.hpp"
 #include "state/overloaded.hpp"
 
@@ -63,7 +64,7 @@
 }
 
 server_view by_affinity(
-    std::vector<loaded_server> all, choice_request const& request,
+    std::vector<loaded_server> all, choice_request const& request, double own_share,
     affinity_with_bounded_load const& policy, std::mt19937_64& random)
 {
     std::vector<loaded_server> near;
@@ -72,7 +73,9 @@
             near.push_back(s);
     bool const near_has_capacity =
         std::any_of(near.begin(), near.end(), [&](auto const& s) { return !is_full(s, policy); });
-    auto candidates = near_has_capacity ? std::move(near) : std::move(all);
+    bool const stays_near =
+        near_has_capacity && stays_in_domain(request.affinity, request.failure_domain, own_share);
+    auto candidates = stays_near ? std::move(near) : std::move(all);
     if (request.affinity.empty())
         return least_loaded_of(candidates, request, 0, random);
     double total = 0;
@@ -113,6 +116,7 @@
     choice_policy const& policy, std::vector<server_view> servers, choice_request const& request,
     state::time_point now, std::mt19937_64& random)
 {
+    auto const own_share = own_domain_share(servers, request.failure_domain);
     std::erase_if(
         servers,
         [&](server_view const& v) { return request.tried_backends.contains(v.listed.id); });
@@ -130,7 +134,7 @@
             [&](nearest_least_loaded const& p)
             { return least_loaded_of(all, request, p.far_penalty, random); },
             [&](affinity_with_bounded_load const& p)
-            { return by_affinity(std::move(all), request, p, random); }},
+            { return by_affinity(std::move(all), request, own_share, p, random); }},
         policy);
 }
 
--- a/src/coordination/server_choice.hpp
+++ b/src/coordination/server_choice.hpp
@@ -29,7 +29,7 @@
 };
 
 /// Chooses the server that all instances prefer for the request's affinity, unless its load exceeds
-/// a bound. Servers in the own failure domain come first.
+/// a bound. Servers in the own failure domain come first, as far as their number allows.
 struct affinity_with_bounded_load
 {
     /// Bound of the load by the mean load; above it the next preferred server is chosen.
