Order on-demand engines while a series of reclaims may go on

Cause: engines for the loss of a further domain were only ordered while exactly one domain was short. Change: the next domain's engines do not count while up to half of the domains are short; with three domains that is the rule of before. Measured: fleet_planner_series_test.

--- a/src/coordination/bulk_update_limiter.hpp
+++ b/src/coordination/bulk_update_limiter.hpp
@@ -13,7 +13,7 @@
 struct bulk_update_limits
 {
     std::size_t min_bulk_servers = 16; ///< updates with fewer servers are not limited
-    double servers_per_second = 4000;  ///< in all bulk updates
+    double servers_per_second = 8000;  ///< in all bulk updates; some 6 Mbit/s
     /// Time for an instance to report that it has applied a bulk update; until then it gets none.
     state::duration repeat_interval = std::chrono::milliseconds{1500};
 };
--- a/src/coordination/fleet_planner.cpp
+++ b/src/coordination/fleet_planner.cpp
@@ -53,6 +53,7 @@
     std::int64_t initial_total = 0;
     std::int64_t remaining_total = 0;  // ready engines that the plan keeps
     std::int64_t max_domain_ready = 0; // ready reclaimable engines of one domain
+    std::size_t domain_count = 0;
     std::vector<fleet_group> short_groups;
     for (auto const& domain : domains_by_price(service))
     {
@@ -62,6 +63,7 @@
         if (initial == 0)
             continue;
         initial_total += initial;
+        ++domain_count;
         auto const scaled =
             std::llround(settings.reclaimable_factor * static_cast<double>(initial));
         plan[reclaimable] = std::clamp<std::int64_t>(
@@ -73,9 +75,10 @@
         if (reclaimable_ready < plan[reclaimable])
             short_groups.push_back(on_demand);
     }
-    // Reclaims come in series: while one domain is short, a reclaim in another may follow before an
-    // engine ordered at that point has started.
-    if (short_groups.size() == 1)
+    // Reclaims come in series: while up to half of the domains are short, a reclaim in another may
+    // follow before an engine ordered at that point has started.
+    bool const series_may_go_on = !short_groups.empty() && 2 * short_groups.size() <= domain_count;
+    if (series_may_go_on)
         remaining_total -= max_domain_ready;
     auto const needed = static_cast<std::int64_t>(
         std::ceil(settings.needed_share * static_cast<double>(initial_total)));
--- a/src/transport/directory_sync.cpp
+++ b/src/transport/directory_sync.cpp
@@ -12,9 +12,9 @@
 /// unavailable list themselves again.
 constexpr state::duration relisting_timeout = std::chrono::milliseconds{2300};
 
-/// Updates of the holder that are older do not replace reads of the store. The value is short
-/// compared with the bound for leaving servers.
-constexpr state::duration max_holder_update_age = std::chrono::milliseconds{1400};
+/// Updates of the holder that are older than this share of the bound for leaving servers do not
+/// replace reads of the store.
+constexpr double max_holder_update_share = 0.45;
 
 } // namespace
 
@@ -60,7 +60,7 @@
 bool directory_sync::holder_updates_are_fresh() const
 {
     std::lock_guard lock(mutex_);
-    return now() - holder_update_at_ <= max_holder_update_age;
+    return now() - holder_update_at_ <= max_holder_update_share * context_.settings.drain_bound;
 }
 
 void directory_sync::expire()
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -226,6 +226,58 @@
     EXPECT_EQ(planned(ready, "c", false), 1);
 }
 
+/// Six domains with 23 engines each, of which a series of reclaims takes one domain after the
+/// other.
+class fleet_planner_series_test : public fleet_planner_test
+{
+protected:
+    fleet_planner_series_test()
+    {
+        settings = {};
+        service.fleet->max_engines = 60;
+        initial_fleet.clear();
+        for (auto const* domain : domains)
+        {
+            service.fleet->domain_prices[failure_domain_id{domain}] = 1;
+            initial_fleet[group(domain, false)] = 23;
+        }
+    }
+
+    /// On-demand engines planned when the reclaimable engines of the first `reclaimed` domains are
+    /// gone.
+    std::int64_t on_demand_after(int reclaimed)
+    {
+        state::fleet_counts ready;
+        for (int i = reclaimed; i < 6; ++i)
+            ready[group(domains[i], true)] = 39;
+        std::int64_t sum = 0;
+        for (auto const& [planned_group, count] :
+             plan_fleet(service, initial_fleet, ready, settings))
+            sum += planned_group.reclaimable ? 0 : count;
+        return sum;
+    }
+
+    static constexpr std::array domains{"a", "b", "c", "d", "e", "f"};
+    static constexpr std::int64_t needed = 111; // 0.8 of 138
+};
+
+TEST_F(fleet_planner_series_test, plan_while_the_next_reclaim_leaves_enough_orders_nothing)
+{
+    EXPECT_EQ(on_demand_after(0), 0);
+    EXPECT_EQ(on_demand_after(1), 0);
+    EXPECT_EQ(on_demand_after(2), 0);
+}
+
+TEST_F(fleet_planner_series_test, plan_before_the_fourth_reclaim_covers_its_loss)
+{
+    EXPECT_EQ(on_demand_after(3), needed - 2 * 39);
+}
+
+TEST_F(fleet_planner_series_test, plan_after_the_fourth_reclaim_covers_what_is_missing)
+{
+    EXPECT_EQ(on_demand_after(4), needed - 2 * 39);
+}
+
 TEST_F(fleet_planner_test, plan_of_more_than_the_bounds_allow_stays_within_them)
 {
     settings.needed_share = 3;
