Soak: servers that send without end; gateways must stay below their memory

Cause: the new faults of servers were only tested one by one. Change: plans have endless and trickling bodies and refusals in addition, from a generator of their own, so the seeds that failed keep their other faults. The resident memory of each gateway is checked against its setting.

--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -21,6 +21,10 @@
 constexpr int stop_grace_ms = 8000;
 
 constexpr int exit_poll_interval_ms = 100;
+constexpr int memory_limit_megabytes = 64;
+
+constexpr std::size_t endless_part_bytes = 4096;
+constexpr int trickle_pause_ms = 50;
 
 constexpr int injected_delay_ms = 600;
 constexpr std::int64_t first_incarnation = 1000; ///< of each backend
@@ -55,7 +59,10 @@
     plan.proxied = true;
     plan.log_folder = logs;
     plan.organisations = organisations(1);
-    plan.settings = {{"usage_window_s", "1"}, {"repeat_slack", "500"}};
+    plan.settings = {
+        {"usage_window_s", "1"},
+        {"repeat_slack", "500"},
+        {"memory_limit_mb", std::to_string(memory_limit_megabytes)}};
     return plan;
 }
 
@@ -146,13 +153,24 @@
             continue;
         auto const exit_code = deployment_.gateway(i).wait_for_exit(0);
         if (!exit_code)
+        {
+            check_memory(i);
             continue;
+        }
         record_.violations.push_back(
             gateway_name(i) + " exited unexpectedly with " + std::to_string(*exit_code));
         restart(i);
     }
 }
 
+void soak_deployment::check_memory(int gateway)
+{
+    auto const used = deployment_.gateway(gateway).resident_megabytes();
+    if (used > memory_limit_megabytes)
+        record_.violations.push_back(
+            gateway_name(gateway) + " uses " + std::to_string(used) + " MB of memory");
+}
+
 void soak_deployment::restart(int gateway)
 {
     ++incarnations_[gateway];
@@ -310,6 +328,18 @@
         faults = {{"delay_ms", injected_delay_ms}};
         no_faults = {{"delay_ms", 0}};
         break;
+    case backend_fault::endless:
+        faults = {{"endless", std::string(endless_part_bytes, 'x')}, {"endless_pause_ms", 0}};
+        no_faults = {{"endless", ""}};
+        break;
+    case backend_fault::trickling:
+        faults = {{"endless", "x"}, {"endless_pause_ms", trickle_pause_ms}};
+        no_faults = {{"endless", ""}};
+        break;
+    case backend_fault::full_endless:
+        faults = {{"not_run", true}, {"endless", "x"}, {"endless_pause_ms", trickle_pause_ms}};
+        no_faults = {{"not_run", false}, {"endless", ""}};
+        break;
     }
     set_temporarily(
         f.duration_ms, faults, no_faults,
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -68,6 +68,7 @@
     void poll_stopping_gateway(int gateway, time_point deadline);
 
     void restart_exited_gateways();
+    void check_memory(int gateway);
 
     soak_size size_;
     soak_record& record_;
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -101,7 +101,31 @@
 constexpr char const* link_names[] = {"gateway-store", "gateway-backend", "caller-gateway"};
 constexpr char const* link_fault_names[] = {"delayed", "reset", "refused", "silent", "one-way"};
 constexpr char const* store_fault_names[] = {"down", "slow", "answers-lost", "history-dropped"};
-constexpr char const* backend_fault_names[] = {"failing", "full", "cut", "torn", "slow"};
+constexpr char const* backend_fault_names[] = {"failing", "full",    "cut",       "torn",
+                                               "slow",    "endless", "trickling", "full-endless"};
+
+/// Adds faults to a plan. They have a generator of their own, so that the seeds that failed in the
+/// past still give the other faults of their plans.
+void add_endless_responses(
+    std::vector<planned_fault>& plan, std::uint64_t seed, soak_size const& size)
+{
+    constexpr double mean_endless_gap_ms = 3000;
+    std::mt19937_64 random(~seed);
+    std::exponential_distribution<> gap_ms(1 / mean_endless_gap_ms);
+    std::uniform_int_distribution<> backend(0, size.backends - 1);
+    std::uniform_int_distribution<> duration_ms(min_duration_ms, max_duration_ms);
+    std::uniform_int_distribution<> fault(
+        static_cast<int>(backend_fault::endless), static_cast<int>(backend_fault::full_endless));
+    double at = start_delay_ms + gap_ms(random);
+    for (; at < size.fault_phase_ms; at += min_gap_ms + gap_ms(random))
+    {
+        auto const kind = static_cast<backend_fault>(fault(random));
+        disrupt_backend const planned{backend(random), kind, duration_ms(random)};
+        plan.push_back({static_cast<int>(at), planned});
+    }
+    std::stable_sort(
+        plan.begin(), plan.end(), [](auto const& a, auto const& b) { return a.at_ms < b.at_ms; });
+}
 
 std::string duration_text(int ms)
 {
@@ -117,6 +141,7 @@
     for (int at = start_delay_ms + generator.gap_ms(); at < size.fault_phase_ms;
          at += std::max(min_gap_ms, generator.gap_ms()))
         plan.push_back({at, generator.next()});
+    add_endless_responses(plan, seed, size);
     return plan;
 }
 
--- a/tests/soak/soak_plan.hpp
+++ b/tests/soak/soak_plan.hpp
@@ -83,7 +83,10 @@
     full,    ///< states that it has not run the request
     cut,     ///< runs the request and closes the connection
     torn,    ///< closes streams in the middle of an event
-    slow
+    slow,
+    endless,     ///< sends bytes without end in place of its responses' bodies
+    trickling,   ///< the same, a byte at a time
+    full_endless ///< refuses, and sends bytes without end in its refusals' bodies
 };
 
 struct disrupt_backend
--- a/tools/standins/routed_backend.cpp
+++ b/tools/standins/routed_backend.cpp
@@ -169,9 +169,12 @@
         not_run_ = protocol::flag_at(*body, "not_run", not_run_);
         cut_ = protocol::flag_at(*body, "cut", cut_);
         if (body->contains("endless"))
-            endless_ = endless_bytes{
+        {
+            endless_bytes const bytes{
                 protocol::text_at(*body, "endless"),
                 std::chrono::milliseconds{protocol::integer_at(*body, "endless_pause_ms", 0)}};
+            endless_ = bytes.part.empty() ? std::nullopt : std::optional{bytes};
+        }
         co_await send_status(connection, 200);
     }
 
