Never list a server again by an older reading of the directory

Cause: an instance that reads the store while the holder's updates are withheld or late applied both, in the order of arrival. Updates of more than 15 servers were also withheld for up to 1.5 s. Change: an older reading is not applied, whichever side it comes from; only copies of the whole directory are limited, changes never. Measured: directory_sync_test fails without the two checks and passes.

--- a/src/transport/directory_sync.cpp
+++ b/src/transport/directory_sync.cpp
@@ -18,9 +18,12 @@
 
 } // namespace
 
-void directory_sync::apply_rows(row_listing const& listing, bool is_full_listing)
+bool directory_sync::apply_rows(row_listing const& listing, bool is_full_listing)
 {
     std::lock_guard lock(mutex_);
+    if (listing.requested_at < holder_update_at_)
+        return false;
+    own_read_at_ = listing.requested_at;
     std::set<state::backend_id> listed;
     for (auto const& row : listing.rows)
     {
@@ -33,12 +36,15 @@
     if (is_full_listing)
         remove_unlisted(listed);
     context_.tables.directory_log.confirm(listing.requested_at);
+    return true;
 }
 
-void directory_sync::apply_update(state::directory_update const& update)
+bool directory_sync::apply_update(state::directory_update const& update, state::time_point read_at)
 {
     std::lock_guard lock(mutex_);
-    holder_update_at_ = now() - update.age;
+    if (read_at < own_read_at_)
+        return false;
+    holder_update_at_ = read_at;
     std::set<state::backend_id> listed;
     for (auto const& server : update.listed)
     {
@@ -49,6 +55,7 @@
         remove_server(id);
     if (update.complete)
         remove_unlisted(listed);
+    return true;
 }
 
 void directory_sync::record_store_error()
--- a/src/transport/directory_sync.hpp
+++ b/src/transport/directory_sync.hpp
@@ -21,11 +21,16 @@
     }
 
     /// Applies rows that were read from the store.
+    /// Applies rows read from the store, unless the holder's directory is more recent.
     /// @param is_full_listing  servers without a row are removed
-    void apply_rows(row_listing const& listing, bool is_full_listing);
+    /// @return whether they were applied
+    bool apply_rows(row_listing const& listing, bool is_full_listing);
 
-    /// Applies an update from the holder of the duties.
-    void apply_update(state::directory_update const& update);
+    /// Applies an update from the holder of the duties, unless this instance has read the store
+    /// after the holder: the update could list servers again that have left since.
+    /// @param read_at  when the holder read the directory, at the earliest
+    /// @return whether it was applied
+    bool apply_update(state::directory_update const& update, state::time_point read_at);
 
     /// Records a failed read. For a while, servers that the store then no longer lists become
     /// missing instead of removed, so that they can list themselves again.
@@ -46,7 +51,8 @@
     gateway_context& context_;
     mutable std::mutex mutex_;
     state::time_point store_failed_at_{};
-    state::time_point holder_update_at_{};
+    state::time_point holder_update_at_{}; ///< when the holder read what was last applied from it
+    state::time_point own_read_at_{};      ///< when this instance requested what it last applied
 };
 
 } // namespace auburnweir::transport
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -370,8 +370,12 @@
         update = log.changes_since(*base, now());
     if (!update)
         update = log.full_copy(now());
-    if (update && !bulk_updates_.try_send(report.id, update->listed.size(), now()))
-        update.reset();
+    if (!update)
+        return std::nullopt;
+    auto const servers = update->listed.size();
+    bool const is_copy = servers > 0 && servers >= log.server_count();
+    if (is_copy && !directory_copies_.try_send(report.id, servers, now()))
+        return std::nullopt;
     return update;
 }
 
@@ -384,6 +388,19 @@
         context_.tables.routes.confirm(reported_at - holder_rows.age);
 }
 
+void peer_exchange::apply_directory_update(
+    state::instance_incarnation const& source, state::directory_update const& update,
+    state::time_point reported_at)
+{
+    // The holder created the response after the report was sent, so it has read the directory at
+    // this time or later.
+    if (!directory_.apply_update(update, reported_at - update.age))
+        return;
+    std::lock_guard lock(mutex_);
+    directory_source_ = source;
+    directory_version_ = update.version;
+}
+
 void peer_exchange::handle_report_response(state::report_response const& response)
 {
     std::optional<state::time_point> reported_at;
@@ -400,14 +417,9 @@
             [&](pending_report const& report) { return report.sequence == response.sequence; });
         if (pending != pending_reports_.end())
             reported_at = pending->at;
-        if (response.directory)
-        {
-            directory_source_ = response.holder;
-            directory_version_ = response.directory->version;
-        }
     }
-    if (response.directory)
-        directory_.apply_update(*response.directory);
+    if (response.directory && reported_at)
+        apply_directory_update(response.holder, *response.directory, *reported_at);
     if (response.operator_rows && reported_at)
         confirm_configuration(*response.operator_rows, *reported_at);
     context_.clock.apply_agreed_offset(response.wall_offset);
--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -1,7 +1,7 @@
 #ifndef AUBURNWEIR_TRANSPORT_PEER_EXCHANGE_HPP
 #define AUBURNWEIR_TRANSPORT_PEER_EXCHANGE_HPP
 
-#include "coordination/bulk_update_limiter.hpp"
+#include "coordination/directory_copy_limiter.hpp"
 #include "transport/directory_sync.hpp"
 #include "transport/peer_links.hpp"
 
@@ -79,6 +79,9 @@
     std::optional<state::directory_update> update_for(state::instance_report const& report);
     void handle_report(connection_number via, state::instance_report report);
     void handle_report_response(state::report_response const& response);
+    void apply_directory_update(
+        state::instance_incarnation const& source, state::directory_update const& update,
+        state::time_point reported_at);
     void confirm_configuration(
         state::operator_rows_status const& holder_rows, state::time_point reported_at);
 
@@ -105,7 +108,7 @@
     state::directory_version directory_version_{0}; ///< counted by `directory_source_`
     std::deque<pending_report> pending_reports_;
     std::optional<state::operator_rows_status> holder_rows_; ///< as of `last_response_at_`
-    coordination::bulk_update_limiter bulk_updates_;         ///< used on the links' thread only
+    coordination::directory_copy_limiter directory_copies_;  ///< used on the links' thread only
     std::uint64_t known_instances_ = 0; ///< by the last report response or by the instances' rows
     std::uint64_t live_instances_ = 1;  ///< maintained by the holder
     std::uint64_t instances_before_takeover_ = 0; ///< known when this instance became the holder
--- a/src/transport/store_watch.cpp
+++ b/src/transport/store_watch.cpp
@@ -270,9 +270,11 @@
         if (listing)
         {
             backoff = {};
-            directory_.apply_rows(listing.value(), read_whole_table);
-            since = std::max(since, listing.value().version);
-            read_whole_table = false;
+            if (directory_.apply_rows(listing.value(), read_whole_table))
+            {
+                since = std::max(since, listing.value().version);
+                read_whole_table = false;
+            }
             servers_were_read_ = true;
             record_reachability(directory_reachable_, "directory", std::nullopt);
         }
--- /dev/null
+++ b/tests/unit/directory_sync_test.cpp
@@ -0,0 +1,109 @@
+#include "transport/directory_sync.hpp"
+
+#include "platform/cloud_client.hpp"
+#include "platform/format.hpp"
+#include "platform/headers.hpp"
+#include "platform/store_client.hpp"
+#include "transport/clock.hpp"
+
+#include <gtest/gtest.h>
+
+namespace auburnweir::transport
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// An instance that learns of backend servers from the store and from the holder of the duties.
+class directory_sync_test : public testing::Test
+{
+protected:
+    static stored_row row(std::string id, bool removed = false)
+    {
+        stored_row r;
+        r.key = std::move(id);
+        r.removed = removed;
+        r.value = R"({"service":"desk","address":"10.0.0.1:80","zone":"z","version":"v1",
+                      "slots":4,"state":"ready","sequence":1,"born":1000})";
+        return r;
+    }
+
+    static row_listing listing(std::vector<stored_row> rows, state::time_point requested_at)
+    {
+        row_listing l;
+        l.rows = std::move(rows);
+        l.requested_at = requested_at;
+        l.received_at = requested_at;
+        return l;
+    }
+
+    state::directory_update update(
+        std::vector<std::string> listed, std::vector<std::string> removed)
+    {
+        state::directory_update u;
+        u.version = state::directory_version{1};
+        for (auto const& id : listed)
+            u.listed.push_back(*format.server(id, row(id).value));
+        for (auto const& id : removed)
+            u.removed.emplace_back(id);
+        return u;
+    }
+
+    bool knows(std::string const& id) const
+    {
+        auto const ids = tables.servers.ids();
+        return std::find(ids.begin(), ids.end(), state::backend_id{id}) != ids.end();
+    }
+
+    protocol::gateway_settings settings = []
+    {
+        protocol::gateway_settings s;
+        s.drain_bound = 3s;
+        return s;
+    }();
+    gateway_tables tables{settings};
+    worker_pool workers{1, 1};
+    timer_service timers{workers.at(0).io()};
+    shared_clock clock;
+    platform::headers headers;
+    platform::format format;
+    platform::store_client store{workers.at(0).http(), {}, tables.counters};
+    platform::cloud_client fleet{workers.at(0).http(), {}};
+    std::atomic<stop_phase> phase{stop_phase::running};
+    activity_count activity;
+    gateway_context context{settings, state::incarnation_number{1},    tables, workers, timers,
+                            clock,    {headers, format, store, fleet}, phase,  activity};
+    directory_sync directory{context};
+    state::time_point start = now();
+};
+
+TEST_F(directory_sync_test, apply_rows_requested_before_holder_read_does_not_list_a_removed_server)
+{
+    ASSERT_TRUE(directory.apply_rows(listing({row("a"), row("b")}, start), true));
+    ASSERT_TRUE(directory.apply_update(update({}, {"a"}), start + 200ms));
+    EXPECT_FALSE(directory.apply_rows(listing({row("a")}, start + 150ms), false));
+    EXPECT_FALSE(knows("a"));
+    EXPECT_TRUE(knows("b"));
+}
+
+TEST_F(directory_sync_test, apply_update_read_before_own_read_does_not_list_a_removed_server)
+{
+    ASSERT_TRUE(directory.apply_rows(listing({row("a"), row("b")}, start), true));
+    ASSERT_TRUE(directory.apply_rows(listing({row("a", true)}, start + 200ms), false));
+    EXPECT_FALSE(directory.apply_update(update({"a"}, {}), start + 150ms));
+    EXPECT_FALSE(knows("a"));
+}
+
+TEST_F(directory_sync_test, apply_update_after_own_read_is_applied_and_fresh)
+{
+    ASSERT_TRUE(directory.apply_rows(listing({row("a")}, start), true));
+    EXPECT_FALSE(directory.holder_updates_are_fresh());
+    EXPECT_TRUE(directory.apply_update(update({"b"}, {"a"}), start + 10ms));
+    EXPECT_FALSE(knows("a"));
+    EXPECT_TRUE(knows("b"));
+    EXPECT_TRUE(directory.holder_updates_are_fresh());
+}
+
+} // namespace
+} // namespace auburnweir::transport
