Keep the lease while the store refuses, and ask less where it can't answer

Unread configurations were asked for each 0.2 s beside the watch that answers. Change: a refused renewal is tried again while the lease lasts; failed look-ups back off; calls of all instances of one kind are paced to 60 a second.

--- a/src/coordination/store_pacing.cpp
+++ b/src/coordination/store_pacing.cpp
@@ -9,7 +9,7 @@
 {
 
 /// Calls of one kind that all instances together make, per second.
-constexpr std::int64_t max_calls_per_second = 120;
+constexpr std::int64_t max_calls_per_second = 60;
 
 } // namespace
 
--- a/src/transport/directory_sync.cpp
+++ b/src/transport/directory_sync.cpp
@@ -42,9 +42,10 @@
 bool directory_sync::apply_update(state::directory_update const& update, state::time_point read_at)
 {
     std::lock_guard lock(mutex_);
-    if (read_at < own_read_at_)
+    bool const has_changes = update.complete || !update.listed.empty() || !update.removed.empty();
+    if (has_changes && read_at < own_read_at_)
         return false;
-    holder_update_at_ = read_at;
+    holder_update_at_ = std::max(holder_update_at_, read_at);
     std::set<state::backend_id> listed;
     for (auto const& server : update.listed)
     {
--- a/src/transport/duty_runner.cpp
+++ b/src/transport/duty_runner.cpp
@@ -35,6 +35,12 @@
 /// Minimum interval between two lookups.
 constexpr state::duration lookup_interval = std::chrono::milliseconds{600};
 
+/// Each failed lookup delays the next by one more interval, up to this number.
+constexpr int max_counted_failed_lookups = 3;
+
+/// Delay before a lease that the store refused to renew is renewed again.
+constexpr state::duration renewal_retry_delay = std::chrono::milliseconds{500};
+
 /// Time after the start in which running engines have listed themselves.
 constexpr state::duration initial_listing_time = std::chrono::seconds{5};
 
@@ -130,7 +136,12 @@
     std::string const key{duty_key};
     auto const listing = co_await store.read_row(table, key, context_.settings.store_timeout);
     if (!listing)
+    {
+        failed_lookups_ = std::min(failed_lookups_ + 1, max_counted_failed_lookups);
+        next_lookup_at_ += failed_lookups_ * lookup_interval;
         co_return;
+    }
+    failed_lookups_ = 0;
     auto const& lease_listing = listing.value();
     context_.clock.observe(
         lease_listing.store_time, lease_listing.requested_at, lease_listing.received_at);
@@ -215,13 +226,21 @@
         context_.clock.observe(applied->store_time, applied->requested_at, applied->received_at);
         held_lease_ = held_lease{std::move(record), applied->version};
         renewed_at_ = now();
+        next_renewal_at_ = renewed_at_;
         co_return true;
     }
-    // A write without a response may have been applied, so the row has to be read again.
     if (std::holds_alternative<write_conflicted>(result))
+    {
         lose_lease("another_write");
-    else
-        lose_lease(name_of(std::get<store_error>(result)));
+        co_return false;
+    }
+    auto const error = std::get<store_error>(result);
+    // A refused write was not applied, so a lease that is in force stays valid until it ends.
+    bool const keeps_lease = error == store_error::refused && peers_.is_holder();
+    if (keeps_lease)
+        next_renewal_at_ = now() + renewal_retry_delay;
+    else // A write without a response may have been applied, so the row has to be read again.
+        lose_lease(name_of(error));
     co_return false;
 }
 
@@ -240,6 +259,8 @@
         co_await report_usage();
         co_return;
     }
+    if (now() < next_renewal_at_)
+        co_return;
     bool const usage_is_due = !record.pending && coordination::usage_is_due(progress());
     if (usage_is_due)
     {
--- a/src/transport/duty_runner.hpp
+++ b/src/transport/duty_runner.hpp
@@ -60,9 +60,11 @@
     std::optional<held_lease> held_lease_;
     state::time_point started_at_{};
     state::time_point renewed_at_{};
+    state::time_point next_renewal_at_{}; ///< later than `renewed_at_` after a refused renewal
     std::map<state::fleet_group, placed_order> placed_orders_;
     state::time_point planned_at_{};
     state::time_point next_lookup_at_{}; ///< earliest time of the next lookup of the holder
+    int failed_lookups_ = 0;             ///< in a row
     std::mt19937_64 random_;
 };
 
--- a/src/transport/store_watch.cpp
+++ b/src/transport/store_watch.cpp
@@ -19,7 +19,7 @@
 /// Range of the delay to which the delays grow, by the number of instances. Short compared with the
 /// bounds of freshness.
 constexpr state::duration shortest_max_retry_delay = std::chrono::milliseconds{600};
-constexpr state::duration longest_max_retry_delay = std::chrono::milliseconds{1800};
+constexpr state::duration longest_max_retry_delay = std::chrono::milliseconds{3000};
 
 /// Reads of the directory within the time in which a leaving server must get no more requests.
 constexpr int directory_reads_per_drain_bound = 3;
@@ -166,15 +166,19 @@
     auto const& settings = context_.settings;
     auto const table = context_.ports.format.operator_table();
     retry_backoff backoff;
+    auto queried_at = now();
     for (;;)
     {
         auto delay = check_interval;
         if (backoff.active())
             delay = backoff.next(max_retry_delay());
         co_await sleep_for(io_, delay);
-        auto const age = context_.tables.routes.age(now());
+        auto age = now() - queried_at;
+        if (routes_were_read_)
+            age = context_.tables.routes.age(now());
         if (!watch_is_pending_ || age < confirmation_age())
             continue;
+        queried_at = now();
         auto listing = co_await store.read_changes(
             table, operator_version_, state::duration::zero(), settings.store_timeout);
         // The pending watch may not detect that the store dropped the history it waits for.
--- a/tests/integration/gateway_shared_test.cpp
+++ b/tests/integration/gateway_shared_test.cpp
@@ -101,6 +101,21 @@
     }
 }
 
+TEST_F(gateway_calm_test, holder_keeps_lease_while_store_refuses_for_less_than_its_length)
+{
+    ASSERT_TRUE(eventually([&] { return holder_index() >= 0; }, 5000));
+    auto const holder = holder_index();
+    gateway_deployment::control(system.store(), {{"down", true}});
+    auto const until = std::chrono::steady_clock::now() + std::chrono::milliseconds{2000};
+    while (std::chrono::steady_clock::now() < until)
+    {
+        EXPECT_EQ(holder_index(), holder);
+        std::this_thread::sleep_for(std::chrono::milliseconds{50});
+    }
+    gateway_deployment::control(system.store(), {{"down", false}});
+    EXPECT_EQ(holder_index(), holder);
+}
+
 TEST_F(gateway_calm_test, followers_do_not_call_the_store)
 {
     ASSERT_TRUE(eventually([&] { return holder_index() >= 0; }, 5000));
--- a/tests/unit/directory_sync_test.cpp
+++ b/tests/unit/directory_sync_test.cpp
@@ -95,6 +95,14 @@
     EXPECT_FALSE(knows("a"));
 }
 
+TEST_F(directory_sync_test, apply_update_without_changes_before_own_read_is_fresh)
+{
+    ASSERT_TRUE(directory.apply_rows(listing({row("a")}, start), true));
+    EXPECT_TRUE(directory.apply_update(update({}, {}), start - 10ms));
+    EXPECT_TRUE(knows("a"));
+    EXPECT_TRUE(directory.holder_updates_are_fresh());
+}
+
 TEST_F(directory_sync_test, apply_update_after_own_read_is_applied_and_fresh)
 {
     ASSERT_TRUE(directory.apply_rows(listing({row("a")}, start), true));
