Show the kept lease by the log, as the test before it did not fail first

Change: the test counts lease events in the gateways' logs, with one refused renewal. The test support writes logs through at once.

--- a/tests/integration/gateway_shared_test.cpp
+++ b/tests/integration/gateway_shared_test.cpp
@@ -1,7 +1,10 @@
 #include "support/deployment.hpp"
 #include "support/gateway_deployment.hpp"
+#include "support/temporary_file.hpp"
 
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <gtest/gtest.h>
 #include <set>
 
@@ -101,21 +104,6 @@
     }
 }
 
-TEST_F(gateway_calm_test, holder_keeps_lease_while_store_refuses_for_less_than_its_length)
-{
-    ASSERT_TRUE(eventually([&] { return holder_index() >= 0; }, 5000));
-    auto const holder = holder_index();
-    gateway_deployment::control(system.store(), {{"down", true}});
-    auto const until = std::chrono::steady_clock::now() + std::chrono::milliseconds{2000};
-    while (std::chrono::steady_clock::now() < until)
-    {
-        EXPECT_EQ(holder_index(), holder);
-        std::this_thread::sleep_for(std::chrono::milliseconds{50});
-    }
-    gateway_deployment::control(system.store(), {{"down", false}});
-    EXPECT_EQ(holder_index(), holder);
-}
-
 TEST_F(gateway_calm_test, followers_do_not_call_the_store)
 {
     ASSERT_TRUE(eventually([&] { return holder_index() >= 0; }, 5000));
@@ -130,6 +118,48 @@
         EXPECT_EQ(system.counter(follower, "auburnweir_store_calls_total"), before);
 }
 
+/// Three gateways whose logs show changes of the lease.
+class gateway_lease_test : public testing::Test
+{
+protected:
+    static gateway_deployment_plan plan(std::string const& logs)
+    {
+        gateway_deployment_plan p;
+        p.gateways = 3;
+        p.log_folder = logs;
+        return p;
+    }
+
+    /// Number of events of this name in the logs of all gateways.
+    int logged(std::string const& event) const
+    {
+        int count = 0;
+        for (auto const& file : std::filesystem::directory_iterator(logs_.path()))
+        {
+            std::ifstream lines(file.path());
+            for (std::string line; std::getline(lines, line);)
+                count += line.find("\"" + event + "\"") != std::string::npos ? 1 : 0;
+        }
+        return count;
+    }
+
+    temporary_folder logs_;
+    gateway_deployment system_{plan(logs_.path())};
+};
+
+TEST_F(gateway_lease_test, holder_refused_by_the_store_for_less_than_its_lease_keeps_it)
+{
+    ASSERT_TRUE(eventually([&] { return logged("lease_taken") > 0; }, 5000));
+    auto const lost_at_start = logged("lease_lost");
+    // The lease is renewed every 0.95 s and lasts for 3.8 s.
+    gateway_deployment::control(system_.store(), {{"down", true}});
+    std::this_thread::sleep_for(std::chrono::milliseconds{1800});
+    gateway_deployment::control(system_.store(), {{"down", false}});
+    std::this_thread::sleep_for(std::chrono::milliseconds{1500});
+    EXPECT_EQ(logged("lease_lost"), lost_at_start);
+    EXPECT_EQ(logged("lease_taken"), 1);
+}
+
 TEST_F(gateway_shared_test, keyed_request_during_store_outage_beyond_bound_is_refused)
 {
     gateway_deployment::control(system.store(), {{"down", true}});
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -137,7 +137,7 @@
                 auto const size = read(from, bytes.data(), bytes.size());
                 if (size <= 0)
                     return;
-                file.write(bytes.data(), size);
+                file.write(bytes.data(), size).flush();
             }
         });
 }
--- a/tests/support/temporary_file.hpp
+++ b/tests/support/temporary_file.hpp
@@ -42,6 +42,33 @@
     std::string path_;
 };
 
+/// A folder in the temporary folder, removed with its files by the destructor.
+class temporary_folder
+{
+public:
+    /// @throws std::runtime_error when the folder can't be created
+    temporary_folder()
+        : path_((std::filesystem::temp_directory_path() / "auburnweir-XXXXXX").string())
+    {
+        if (!::mkdtemp(path_.data()))
+            throw std::runtime_error("can't create a temporary folder: " + path_);
+    }
+
+    temporary_folder(temporary_folder const&) = delete;
+    temporary_folder& operator=(temporary_folder const&) = delete;
+
+    ~temporary_folder()
+    {
+        std::error_code ignored;
+        std::filesystem::remove_all(path_, ignored);
+    }
+
+    std::string const& path() const { return path_; }
+
+private:
+    std::string path_;
+};
+
 } // namespace auburnweir::tests
 
 #endif
