Reject CBOR that announces too much or nests too deeply

Traced: on the first frame of any connection to the peer port, before authentication, throws so on the links' thread, which ends the process; arrays in each other overflow the stack. One malformed message takes a process down, as operators of similar systems saw. Change: parse_cbor bounds depth and announced sizes; the three decoders use it.

Also here: a holder sends the servers that leave even when it withholds a large update.

--- a/src/protocol/duty_record_codec.cpp
+++ b/src/protocol/duty_record_codec.cpp
@@ -1,5 +1,6 @@
 #include "protocol/duty_record_codec.hpp"
 
+#include "protocol/cbor.hpp"
 #include "protocol/element_reader.hpp"
 #include "protocol/option_table.hpp"
 
@@ -152,12 +153,12 @@
 
 std::optional<coordination::duty_record> decode_duty_record(std::string_view text)
 {
-    auto const parsed = json::from_cbor(text, true, false);
-    if (parsed.is_discarded())
+    auto const parsed = parse_cbor(text);
+    if (!parsed)
         return std::nullopt;
     try
     {
-        return read_record(parsed);
+        return read_record(*parsed);
     }
     catch (malformed_message const&)
     {
--- a/src/protocol/peer_handshake.cpp
+++ b/src/protocol/peer_handshake.cpp
@@ -1,5 +1,6 @@
 #include "protocol/peer_handshake.hpp"
 
+#include "protocol/cbor.hpp"
 #include "protocol/digest.hpp"
 #include "protocol/json.hpp"
 
@@ -15,11 +16,11 @@
 std::optional<std::vector<std::string>> read_frame(
     std::string_view frame, std::string_view kind, std::size_t texts)
 {
-    auto const list = json::from_cbor(frame.begin(), frame.end(), true, false);
-    if (!list.is_array() || list.size() != texts + 1)
+    auto const list = parse_cbor(frame);
+    if (!list || !list->is_array() || list->size() != texts + 1)
         return std::nullopt;
     std::vector<std::string> out;
-    for (auto const& e : list)
+    for (auto const& e : *list)
     {
         if (!e.is_string())
             return std::nullopt;
--- a/src/protocol/peer_message.cpp
+++ b/src/protocol/peer_message.cpp
@@ -1,5 +1,6 @@
 #include "protocol/peer_message.hpp"
 
+#include "protocol/cbor.hpp"
 #include "protocol/chat_codec.hpp"
 #include "protocol/element_reader.hpp"
 #include "protocol/instance_report_codec.hpp"
@@ -379,13 +380,13 @@
 
 decoded<std::vector<peer_message>> decode_frame(std::string_view frame)
 {
-    auto const list = json::from_cbor(frame.begin(), frame.end(), true, false);
-    if (!list.is_array())
+    auto const list = parse_cbor(frame);
+    if (!list || !list->is_array())
         return decode_error{"frame is not a CBOR array"};
     try
     {
         std::vector<peer_message> messages;
-        for (auto const& m : list)
+        for (auto const& m : *list)
             messages.push_back(decode_message(m));
         return messages;
     }
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -372,10 +372,8 @@
         update = log.full_copy(now());
     if (!update)
         return std::nullopt;
-    auto const servers = update->listed.size();
-    bool const is_copy = servers > 0 && servers >= log.server_count();
-    if (is_copy && !directory_copies_.try_send(report.id, servers, now()))
-        return std::nullopt;
+    if (!directory_updates_.try_send(report.id, update->listed.size(), now()))
+        return state::leaving_part(std::move(*update));
     return update;
 }
 
--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -1,7 +1,7 @@
 #ifndef AUBURNWEIR_TRANSPORT_PEER_EXCHANGE_HPP
 #define AUBURNWEIR_TRANSPORT_PEER_EXCHANGE_HPP
 
-#include "coordination/directory_copy_limiter.hpp"
+#include "coordination/directory_update_limiter.hpp"
 #include "transport/directory_sync.hpp"
 #include "transport/peer_links.hpp"
 
@@ -107,8 +107,8 @@
     state::instance_incarnation directory_source_;  ///< sender of the last applied directory update
     state::directory_version directory_version_{0}; ///< counted by `directory_source_`
     std::deque<pending_report> pending_reports_;
-    std::optional<state::operator_rows_status> holder_rows_; ///< as of `last_response_at_`
-    coordination::directory_copy_limiter directory_copies_;  ///< used on the links' thread only
+    std::optional<state::operator_rows_status> holder_rows_;   ///< as of `last_response_at_`
+    coordination::directory_update_limiter directory_updates_; ///< used on the links' thread only
     std::uint64_t known_instances_ = 0; ///< by the last report response or by the instances' rows
     std::uint64_t live_instances_ = 1;  ///< maintained by the holder
     std::uint64_t instances_before_takeover_ = 0; ///< known when this instance became the holder
--- a/tests/unit/directory_copy_limiter_test.cpp
+++ b/tests/unit/directory_update_limiter_test.cpp
@@ -1,4 +1,4 @@
-#include "coordination/directory_copy_limiter.hpp"
+#include "coordination/directory_update_limiter.hpp"
 
 #include <gtest/gtest.h>
 #include <set>
@@ -11,7 +11,7 @@
 using namespace std::chrono_literals;
 
 /// The load of a new holder: every instance asks for the whole directory in each report period.
-class directory_copy_limiter_test : public testing::Test
+class directory_update_limiter_test : public testing::Test
 {
 protected:
     static state::instance_id instance(int i)
@@ -19,11 +19,18 @@
         return state::instance_id{"entry-" + std::to_string(i)};
     }
 
-    directory_copy_limiter limiter;
+    directory_update_limiter limiter;
     state::time_point start{10s};
 };
 
-TEST_F(directory_copy_limiter_test, try_send_to_instance_that_has_one_waits_for_its_report)
+TEST_F(directory_update_limiter_test, try_send_of_small_updates_is_not_limited)
+{
+    directory_update_limits const limits;
+    for (int i = 0; i < 10000; ++i)
+        EXPECT_TRUE(limiter.try_send(instance(1), limits.min_large - 1, start));
+}
+
+TEST_F(directory_update_limiter_test, try_send_to_instance_that_has_one_waits_for_its_report)
 {
     EXPECT_TRUE(limiter.try_send(instance(1), 123, start));
     EXPECT_FALSE(limiter.try_send(instance(1), 123, start + 300ms));
@@ -31,7 +38,7 @@
     EXPECT_TRUE(limiter.try_send(instance(1), 123, start + 1500ms));
 }
 
-TEST_F(directory_copy_limiter_test, try_send_to_three_hundred_instances_stays_below_rate)
+TEST_F(directory_update_limiter_test, try_send_to_three_hundred_instances_stays_below_rate)
 {
     constexpr int instances = 300;
     constexpr std::size_t servers = 3000;
@@ -41,13 +48,14 @@
         for (int i = 0; i < instances; ++i)
             if (limiter.try_send(instance(i), servers, at))
                 sent += servers;
-    directory_copy_limits const limits;
-    // One second's copies at once, and one copy that is begun with a part of its size.
+    directory_update_limits const limits;
+    // One second's updates at once, and one update that is begun with a part of its size.
     EXPECT_LE(sent, (seconds + 1) * static_cast<std::size_t>(limits.servers_per_second) + servers);
     EXPECT_GE(sent, (seconds - 2) * static_cast<std::size_t>(limits.servers_per_second));
 }
 
-TEST_F(directory_copy_limiter_test, try_send_to_two_hundred_instances_reaches_all_in_seven_seconds)
+TEST_F(
+    directory_update_limiter_test, try_send_to_two_hundred_instances_reaches_all_in_seven_seconds)
 {
     constexpr int instances = 195;
     std::set<int> missing;
--- a/tests/unit/text_test.cpp
+++ b/tests/unit/text_test.cpp
@@ -1,8 +1,11 @@
+#include "protocol/cbor.hpp"
 #include "protocol/chat_codec.hpp"
+#include "protocol/duty_record_codec.hpp"
 #include "protocol/entry_settings.hpp"
 #include "protocol/gateway_settings.hpp"
 #include "protocol/ini_document.hpp"
 #include "protocol/peer_handshake.hpp"
+#include "protocol/peer_message.hpp"
 #include "protocol/problem.hpp"
 #include "protocol/request_head.hpp"
 #include "protocol/service_text.hpp"
@@ -268,6 +271,52 @@
     EXPECT_TRUE(std::holds_alternative<handshake_refused>(accepting.receive("\x80")));
 }
 
+/// Bytes that no instance sends.
+class malformed_cbor_test : public testing::Test
+{
+protected:
+    /// An array that announces 7,026,040,248,528,011,263 elements.
+    std::string const excessive_array = "\x9B\x61\x81\x9F\xFF\xFF\xFF\xFF\xFF";
+    std::string const excessive_map = "\xBB\x61\x81\x9F\xFF\xFF\xFF\xFF\xFF";
+    /// Arrays of one element in each other, deeper than any stack.
+    std::string const deep_array = std::string(4000000, '\x81');
+    std::string const deep_indefinite_array = std::string(4000000, '\x9F');
+    std::string const deep_map = std::string(4000000, '\xA1');
+
+    std::vector<std::string> all() const
+    {
+        return {excessive_array, excessive_map, deep_array, deep_indefinite_array, deep_map};
+    }
+};
+
+TEST_F(malformed_cbor_test, parse_cbor_rejects_it)
+{
+    for (auto const& bytes : all())
+        EXPECT_FALSE(parse_cbor(bytes));
+}
+
+TEST_F(malformed_cbor_test, peer_frame_is_rejected)
+{
+    for (auto const& bytes : all())
+        EXPECT_FALSE(decode_frame(bytes).has_value());
+}
+
+TEST_F(malformed_cbor_test, frame_before_authentication_is_refused)
+{
+    for (auto const& bytes : all())
+    {
+        peer_handshake accepting{
+            peer_handshake::role::accepting, state::instance_id{"b"}, "shared", "n2"};
+        EXPECT_TRUE(std::holds_alternative<handshake_refused>(accepting.receive(bytes)));
+    }
+}
+
+TEST_F(malformed_cbor_test, row_of_the_lease_is_rejected)
+{
+    for (auto const& bytes : all())
+        EXPECT_FALSE(decode_duty_record(bytes));
+}
+
 TEST(problem_test, body_contains_reason_outcome_and_request)
 {
     problem p{
