Tell an attempt's outcome once

Change: outcome_of beside relay_result; behaviour stays. Measured: gateway, client and attempt tests pass.

--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -330,12 +330,12 @@
     progress_.response_begun = relay_->has_started();
     if (!relay_->last_event_id().empty())
         resume_after_ = relay_->last_event_id();
+    if (!failed)
+        end_attempt(server, outcome_of(result));
     switch (result)
     {
     case relay_result::complete:
         done_ = true;
-        if (!failed)
-            end_attempt(server, server_outcome::answered);
         context_.tables.counters.increment(state::event_counter::requests_completed);
         context_.tables.full_response_latency.record(now() - arrived_at_);
         log(log_event::request_finished,
@@ -351,23 +351,15 @@
     case relay_result::caller_left:
         caller_left_ = true;
         done_ = true;
-        if (!failed)
-            end_attempt(server, server_outcome::abandoned);
         break;
     case relay_result::interrupted:
     case relay_result::malformed:
-        if (!failed)
-            end_attempt(server, server_outcome::failed);
         co_await handle_failed_attempt(server, attempt_lost{false});
         break;
     case relay_result::out_of_memory:
-        if (!failed)
-            end_attempt(server, server_outcome::abandoned);
         co_await handle_failed_attempt(server, coordination::attempt_unbuffered{});
         break;
     case relay_result::timed_out:
-        if (!failed)
-            end_attempt(server, server_outcome::unreachable);
         co_await handle_failed_attempt(server, attempt_lost{true});
         break;
     }
--- a/src/transport/response_relay.cpp
+++ b/src/transport/response_relay.cpp
@@ -36,6 +36,24 @@
 
 } // namespace
 
+state::server_outcome outcome_of(relay_result result)
+{
+    switch (result)
+    {
+    case relay_result::complete:
+        return state::server_outcome::answered;
+    case relay_result::interrupted:
+    case relay_result::malformed:
+        return state::server_outcome::failed;
+    case relay_result::timed_out:
+        return state::server_outcome::unreachable;
+    case relay_result::out_of_memory:
+    case relay_result::caller_left:
+        break;
+    }
+    return state::server_outcome::abandoned;
+}
+
 response_relay::response_relay(
     gateway_context& context, response_writer& writer, relayed_request request)
     : context_(context)
--- a/src/transport/response_relay.hpp
+++ b/src/transport/response_relay.hpp
@@ -18,6 +18,9 @@
     caller_left
 };
 
+/// How an attempt with this result ended, for the server's health.
+state::server_outcome outcome_of(relay_result result);
+
 /// The properties of a request that the relay of its response uses.
 struct relayed_request
 {
