Send directory changes again only when they were not acknowledged in time

Cause: the last form sent the servers that leave with each response while a large update was withheld. Change: no update while one may be on its way to the same instance; only copies have a rate; the part of leaving servers is gone.

--- a/src/coordination/directory_update_limiter.cpp
+++ b/src/coordination/directory_update_limiter.cpp
@@ -5,31 +5,35 @@
 namespace auburnweir::coordination
 {
 
-void directory_update_limiter::refill(state::time_point now)
+bool directory_update_limiter::may_send(
+    state::instance_id const& to, state::directory_version acknowledged,
+    state::time_point now) const
+{
+    auto const sent = sent_.find(to);
+    if (sent == sent_.end() || sent->second.version <= acknowledged)
+        return true;
+    return now - sent->second.at >= limits_.acknowledgement_timeout;
+}
+
+bool directory_update_limiter::try_copy(std::size_t servers, state::time_point now)
 {
     std::chrono::duration<double> const elapsed = now - refilled_at_;
     refilled_at_ = now;
-    // The bucket holds the updates of one second.
-    tokens_ = std::min(
-        limits_.servers_per_second, tokens_ + elapsed.count() * limits_.servers_per_second);
+    // The bucket holds the copies of one second.
+    auto const rate = limits_.copied_servers_per_second;
+    copied_servers_ = std::min(rate, copied_servers_ + elapsed.count() * rate);
+    if (copied_servers_ <= 0)
+        return false;
+    copied_servers_ -= static_cast<double>(servers);
+    return true;
 }
 
-bool directory_update_limiter::try_send(
-    state::instance_id const& to, std::size_t servers, state::time_point now)
+void directory_update_limiter::record_sent(
+    state::instance_id const& to, state::directory_version version, state::time_point now)
 {
-    if (servers < limits_.min_large)
-        return true;
-    auto const sent = sent_at_.find(to);
-    if (sent != sent_at_.end() && now - sent->second < limits_.repeat_interval)
-        return false;
-    refill(now);
-    if (tokens_ <= 0)
-        return false;
-    tokens_ -= static_cast<double>(servers);
     std::erase_if(
-        sent_at_, [&](auto const& e) { return now - e.second >= limits_.repeat_interval; });
-    sent_at_[to] = now;
-    return true;
+        sent_, [&](auto const& e) { return now - e.second.at >= limits_.acknowledgement_timeout; });
+    sent_[to] = {version, now};
 }
 
 } // namespace auburnweir::coordination
--- a/src/coordination/directory_update_limiter.hpp
+++ b/src/coordination/directory_update_limiter.hpp
@@ -1,6 +1,7 @@
 #ifndef AUBURNWEIR_COORDINATION_DIRECTORY_UPDATE_LIMITER_HPP
 #define AUBURNWEIR_COORDINATION_DIRECTORY_UPDATE_LIMITER_HPP
 
+#include "state/directory_log.hpp"
 #include "state/ids.hpp"
 #include "state/time.hpp"
 
@@ -9,21 +10,20 @@
 namespace auburnweir::coordination
 {
 
-/// Limits of the large directory updates that the holder of the duties sends.
+/// Limits of the directory updates that the holder of the duties sends.
 struct directory_update_limits
 {
-    std::size_t min_large = 100;      ///< servers; smaller updates are not limited
-    double servers_per_second = 8000; ///< in all large updates; some 6 Mbit/s
-    /// Time for an instance to report that it has applied a large update; until then it gets none.
-    state::duration repeat_interval = std::chrono::milliseconds{1500};
+    double copied_servers_per_second = 8000; ///< in copies of the directory; some 6 Mbit/s
+    /// Time after which an update that was not acknowledged counts as lost with its link.
+    state::duration acknowledgement_timeout = std::chrono::milliseconds{1500};
 };
 
-/// Decides which instances get a large update of the directory from its holder.
+/// Decides when the holder sends an instance changes of the directory, or a copy of it.
 ///
-/// Answers the pattern in which all instances ask a new holder at once, or thousands of servers
-/// start: without a limit, updates fill the holder's link, and the servers that leave, which the
-/// others must learn of in time, wait behind those that do not. An instance that gets no large
-/// update reads the store itself.
+/// Answers the pattern in which all instances ask a new holder at once, or many servers start or
+/// leave: updates that are sent again before they have arrived fill the holder's link, and the
+/// servers that leave, which the others must learn of in time, wait behind the repetitions.
+/// An instance that gets no update reads the store itself.
 ///
 /// Not thread-safe. Never reads a clock.
 class directory_update_limiter
@@ -31,20 +31,33 @@
 public:
     explicit directory_update_limiter(directory_update_limits limits = {})
         : limits_(limits)
-        , tokens_(limits.servers_per_second)
+        , copied_servers_(limits.copied_servers_per_second)
     {
     }
 
-    /// Whether an update with this number of servers may be sent now; it then counts as sent.
-    bool try_send(state::instance_id const& to, std::size_t servers, state::time_point now);
+    /// Whether an instance that has acknowledged this version may get an update now: not while one
+    /// may still be on its way.
+    bool may_send(
+        state::instance_id const& to, state::directory_version acknowledged,
+        state::time_point now) const;
+
+    /// Whether a copy with this number of servers may be sent now; it then counts as sent.
+    bool try_copy(std::size_t servers, state::time_point now);
+
+    void record_sent(
+        state::instance_id const& to, state::directory_version version, state::time_point now);
 
 private:
-    void refill(state::time_point now);
+    struct sent_update
+    {
+        state::directory_version version;
+        state::time_point at{};
+    };
 
     directory_update_limits limits_;
-    double tokens_; ///< servers that may be sent now; negative after an update larger than that
+    double copied_servers_; ///< that may be sent now; negative after a copy larger than that
     state::time_point refilled_at_{};
-    std::map<state::instance_id, state::time_point> sent_at_;
+    std::map<state::instance_id, sent_update> sent_;
 };
 
 } // namespace auburnweir::coordination
--- a/src/protocol/instance_report_codec.cpp
+++ b/src/protocol/instance_report_codec.cpp
@@ -51,8 +51,8 @@
     for (auto const& id : update.removed)
         removed.push_back(id.str());
     return json::array(
-        {update.version.count(), update.age.count(), update.complete, update.leaving_only,
-         std::move(listed), std::move(removed)});
+        {update.version.count(), update.age.count(), update.complete, std::move(listed),
+         std::move(removed)});
 }
 
 state::directory_update read_update(json const& from)
@@ -62,7 +62,6 @@
     update.version = state::directory_version{in.unsigned_integer()};
     update.age = state::duration{in.integer()};
     update.complete = in.flag();
-    update.leaving_only = in.flag();
     for (auto const& server : in.array())
         update.listed.push_back(read_server(server));
     for (auto const& id : in.array())
--- a/src/state/directory_log.cpp
+++ b/src/state/directory_log.cpp
@@ -30,14 +30,6 @@
 
 } // namespace
 
-directory_update leaving_part(directory_update update)
-{
-    update.complete = false;
-    update.leaving_only = true;
-    std::erase_if(update.listed, [](listed_server const& s) { return !s.draining; });
-    return update;
-}
-
 void directory_log::record_listed(listed_server const& server)
 {
     ranked_lock lock(mutex_);
--- a/src/state/directory_log.hpp
+++ b/src/state/directory_log.hpp
@@ -25,16 +25,12 @@
     directory_version version; ///< after these changes
     duration age{0};           ///< time since the directory was read
     bool complete = false;     ///< lists all servers: the receiver removes the others
-    bool leaving_only = false; ///< lacks the servers that do not leave, so it is no new version
     std::vector<listed_server> listed;
     std::vector<backend_id> removed;
 
     friend bool operator==(directory_update const&, directory_update const&) = default;
 };
 
-/// The part of an update that must not wait: servers that leave or are removed.
-directory_update leaving_part(directory_update update);
-
 /// The directory as this instance last read it, with the version in which each row last changed.
 ///
 /// Removed servers and the digests of earlier versions are kept for the last `max_history` changes.
--- a/src/transport/directory_sync.cpp
+++ b/src/transport/directory_sync.cpp
@@ -45,8 +45,7 @@
     bool const has_changes = update.complete || !update.listed.empty() || !update.removed.empty();
     if (has_changes && read_at < own_read_at_)
         return false;
-    if (!update.leaving_only)
-        holder_update_at_ = std::max(holder_update_at_, read_at);
+    holder_update_at_ = std::max(holder_update_at_, read_at);
     std::set<state::backend_id> listed;
     for (auto const& server : update.listed)
     {
@@ -57,7 +56,7 @@
         remove_server(id);
     if (update.complete)
         remove_unlisted(listed);
-    return !update.leaving_only;
+    return true;
 }
 
 void directory_sync::record_store_error()
--- a/src/transport/directory_sync.hpp
+++ b/src/transport/directory_sync.hpp
@@ -29,7 +29,7 @@
     /// Applies an update from the holder of the duties, unless this instance has read the store
     /// after the holder: the update could list servers again that have left since.
     /// @param read_at  when the holder read the directory, at the earliest
-    /// @return whether this instance now has the directory of the update's version
+    /// @return whether it was applied
     bool apply_update(state::directory_update const& update, state::time_point read_at);
 
     /// Records a failed read. For a while, servers that the store then no longer lists become
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -360,11 +360,15 @@
     state::instance_report const& report)
 {
     auto const& log = context_.tables.directory_log;
+    bool const has_own_version = report.directory_holder == context_.incarnation;
+    auto const acknowledged = has_own_version ? report.directory : state::directory_version{0};
+    if (!directory_updates_.may_send(report.id, acknowledged, now()))
+        return std::nullopt;
     // An instance that has its directory from the store or from an earlier holder usually has the
     // same content as one of the latest versions here.
     auto base = log.version_with(report.digest);
-    if (report.directory_holder == context_.incarnation)
-        base = report.directory;
+    if (has_own_version)
+        base = acknowledged;
     std::optional<state::directory_update> update;
     if (base)
         update = log.changes_since(*base, now());
@@ -372,8 +376,12 @@
         update = log.full_copy(now());
     if (!update)
         return std::nullopt;
-    if (!directory_updates_.try_send(report.id, update->listed.size(), now()))
-        return state::leaving_part(std::move(*update));
+    auto const servers = update->listed.size();
+    bool const is_copy = servers > 0 && servers >= log.server_count();
+    if (is_copy && !directory_updates_.try_copy(servers, now()))
+        return std::nullopt;
+    if (servers + update->removed.size() > 0)
+        directory_updates_.record_sent(report.id, update->version, now());
     return update;
 }
 
