Tell gateways to read the store when a directory change is too large to send

While the fleet of 2,997 servers changes, each instance's update has thousands of servers, which the holder's link of 20 Mbit/s sends one after the other; the store's link has 4,000 Mbit/s. Change: updates from 300 servers on have the rate of copies, and a response says when one is withheld, so that the receiver reads the store at once. Sites below 300 changed servers are not touched by it.

--- a/src/coordination/directory_update_limiter.cpp
+++ b/src/coordination/directory_update_limiter.cpp
@@ -15,16 +15,18 @@
     return now - sent->second.at >= limits_.acknowledgement_timeout;
 }
 
-bool directory_update_limiter::try_copy(std::size_t servers, state::time_point now)
+bool directory_update_limiter::try_send(std::size_t servers, bool is_copy, state::time_point now)
 {
+    if (!is_copy && servers < limits_.min_large)
+        return true;
     std::chrono::duration<double> const elapsed = now - refilled_at_;
     refilled_at_ = now;
-    // The bucket holds the copies of one second.
-    auto const rate = limits_.copied_servers_per_second;
-    copied_servers_ = std::min(rate, copied_servers_ + elapsed.count() * rate);
-    if (copied_servers_ <= 0)
+    // The bucket holds the updates of one second.
+    auto const rate = limits_.servers_per_second;
+    servers_ = std::min(rate, servers_ + elapsed.count() * rate);
+    if (servers_ <= 0)
         return false;
-    copied_servers_ -= static_cast<double>(servers);
+    servers_ -= static_cast<double>(servers);
     return true;
 }
 
--- a/src/coordination/directory_update_limiter.hpp
+++ b/src/coordination/directory_update_limiter.hpp
@@ -13,7 +13,8 @@
 /// Limits of the directory updates that the holder of the duties sends.
 struct directory_update_limits
 {
-    double copied_servers_per_second = 8000; ///< in copies of the directory; some 6 Mbit/s
+    std::size_t min_large = 300;      ///< servers; an update with as many is large, as is a copy
+    double servers_per_second = 8000; ///< in large updates; some 6 Mbit/s
     /// Time after which an update that was not acknowledged counts as lost with its link.
     state::duration acknowledgement_timeout = std::chrono::milliseconds{1500};
 };
@@ -23,7 +24,7 @@
 /// Answers the pattern in which all instances ask a new holder at once, or many servers start or
 /// leave: updates that are sent again before they have arrived fill the holder's link, and the
 /// servers that leave, which the others must learn of in time, wait behind the repetitions.
-/// An instance that gets no update reads the store itself.
+/// An instance that gets no large update reads the store itself, whose link is wider.
 ///
 /// Not thread-safe. Never reads a clock.
 class directory_update_limiter
@@ -31,7 +32,7 @@
 public:
     explicit directory_update_limiter(directory_update_limits limits = {})
         : limits_(limits)
-        , copied_servers_(limits.copied_servers_per_second)
+        , servers_(limits.servers_per_second)
     {
     }
 
@@ -41,8 +42,9 @@
         state::instance_id const& to, state::directory_version acknowledged,
         state::time_point now) const;
 
-    /// Whether a copy with this number of servers may be sent now; it then counts as sent.
-    bool try_copy(std::size_t servers, state::time_point now);
+    /// Whether an update may be sent now as far as its size goes; it then counts as sent.
+    /// @param is_copy  the update has the whole directory
+    bool try_send(std::size_t servers, bool is_copy, state::time_point now);
 
     void record_sent(
         state::instance_id const& to, state::directory_version version, state::time_point now);
@@ -55,7 +57,7 @@
     };
 
     directory_update_limits limits_;
-    double copied_servers_; ///< that may be sent now; negative after a copy larger than that
+    double servers_; ///< that may be sent now; negative after an update larger than that
     state::time_point refilled_at_{};
     std::map<state::instance_id, sent_update> sent_;
 };
--- a/src/protocol/instance_report_codec.cpp
+++ b/src/protocol/instance_report_codec.cpp
@@ -205,6 +205,7 @@
     out.push_back(response.holds_lease);
     out.push_back(encode_levels(response.levels));
     out.push_back(response.directory ? encode_update(*response.directory) : json::array());
+    out.push_back(response.directory_withheld);
     out.push_back(
         response.operator_rows ? encode_rows_status(*response.operator_rows) : json::array());
     if (response.wall_offset)
@@ -223,6 +224,7 @@
     response.levels = read_levels(in.array());
     if (auto const& update = in.array(); !update.empty())
         response.directory = read_update(update);
+    response.directory_withheld = in.flag();
     if (auto const& status = in.array(); !status.empty())
         response.operator_rows = read_rows_status(status);
     if (!in.at_end())
--- a/src/state/report_response.hpp
+++ b/src/state/report_response.hpp
@@ -24,7 +24,9 @@
     std::uint64_t live_instance_count = 1; ///< instances that reported recently
     bool holds_lease = true;               ///< false: the receiver must find another holder
     quota_levels levels; ///< at the holder, after it charged the amounts of that report
-    std::optional<directory_update> directory;            ///< null until the holder has read it
+    std::optional<directory_update> directory; ///< null when unread, withheld or on its way
+    /// The update is too large to be sent now: the receiver reads the store.
+    bool directory_withheld = false;
     std::optional<operator_rows_status> operator_rows;    ///< null until the holder has read them
     std::optional<std::chrono::milliseconds> wall_offset; ///< true time minus store clock
 
--- a/src/transport/directory_sync.cpp
+++ b/src/transport/directory_sync.cpp
@@ -65,6 +65,12 @@
     store_failed_at_ = now();
 }
 
+void directory_sync::discard_holder_update()
+{
+    std::lock_guard lock(mutex_);
+    holder_update_at_ = {};
+}
+
 bool directory_sync::holder_updates_are_fresh() const
 {
     std::lock_guard lock(mutex_);
--- a/src/transport/directory_sync.hpp
+++ b/src/transport/directory_sync.hpp
@@ -32,6 +32,10 @@
     /// @return whether it was applied
     bool apply_update(state::directory_update const& update, state::time_point read_at);
 
+    /// Records that the holder has changes that it does not send: until its next update this
+    /// instance reads the store.
+    void discard_holder_update();
+
     /// Records a failed read. For a while, servers that the store then no longer lists become
     /// missing instead of removed, so that they can list themselves again.
     void record_store_error();
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -345,7 +345,7 @@
     response.sequence = report.sequence;
     response.levels = context_.tables.quotas.issue_levels(now());
     response.wall_offset = context_.clock.agreed_offset();
-    response.directory = update_for(report);
+    add_directory(response, report);
     if (context_.tables.routes.current())
         response.operator_rows = {
             context_.tables.routes.newest(), context_.tables.routes.age(now())};
@@ -356,14 +356,14 @@
     return response;
 }
 
-std::optional<state::directory_update> peer_exchange::update_for(
-    state::instance_report const& report)
+void peer_exchange::add_directory(
+    state::report_response& response, state::instance_report const& report)
 {
     auto const& log = context_.tables.directory_log;
     bool const has_own_version = report.directory_holder == context_.incarnation;
     auto const acknowledged = has_own_version ? report.directory : state::directory_version{0};
     if (!directory_updates_.may_send(report.id, acknowledged, now()))
-        return std::nullopt;
+        return;
     // An instance that has its directory from the store or from an earlier holder usually has the
     // same content as one of the latest versions here.
     auto base = log.version_with(report.digest);
@@ -375,14 +375,15 @@
     if (!update)
         update = log.full_copy(now());
     if (!update)
-        return std::nullopt;
-    auto const servers = update->listed.size();
-    bool const is_copy = servers > 0 && servers >= log.server_count();
-    if (is_copy && !directory_updates_.try_copy(servers, now()))
-        return std::nullopt;
-    if (servers + update->removed.size() > 0)
+        return;
+    auto const servers = update->listed.size() + update->removed.size();
+    bool const is_copy = servers > 0 && update->listed.size() >= log.server_count();
+    response.directory_withheld = !directory_updates_.try_send(servers, is_copy, now());
+    if (response.directory_withheld)
+        return;
+    if (servers > 0)
         directory_updates_.record_sent(report.id, update->version, now());
-    return update;
+    response.directory = std::move(update);
 }
 
 void peer_exchange::confirm_configuration(
@@ -424,6 +425,8 @@
         if (pending != pending_reports_.end())
             reported_at = pending->at;
     }
+    if (response.directory_withheld)
+        directory_.discard_holder_update();
     if (response.directory && reported_at)
         apply_directory_update(response.holder, *response.directory, *reported_at);
     if (response.operator_rows && reported_at)
--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -76,7 +76,7 @@
     void tick_as_follower(state::instance const& holder);
     state::instance_report make_report(report_content content);
     state::report_response response_to(state::instance_report const& report);
-    std::optional<state::directory_update> update_for(state::instance_report const& report);
+    void add_directory(state::report_response& response, state::instance_report const& report);
     void handle_report(connection_number via, state::instance_report report);
     void handle_report_response(state::report_response const& response);
     void apply_directory_update(
--- a/tests/unit/directory_update_limiter_test.cpp
+++ b/tests/unit/directory_update_limiter_test.cpp
@@ -39,7 +39,13 @@
     EXPECT_TRUE(limiter.may_send(instance(1), directory_version{6}, start + 1500ms));
 }
 
-TEST_F(directory_update_limiter_test, try_copy_for_three_hundred_instances_stays_below_rate)
+TEST_F(directory_update_limiter_test, try_send_of_small_changes_is_not_limited)
+{
+    for (int i = 0; i < 10000; ++i)
+        EXPECT_TRUE(limiter.try_send(directory_update_limits{}.min_large - 1, false, start));
+}
+
+TEST_F(directory_update_limiter_test, try_send_for_three_hundred_instances_stays_below_rate)
 {
     constexpr int instances = 300;
     constexpr std::size_t servers = 3000;
@@ -47,23 +53,24 @@
     std::size_t sent = 0;
     for (auto at = start; at < start + std::chrono::seconds{seconds}; at += 300ms)
         for (int i = 0; i < instances; ++i)
-            if (limiter.try_copy(servers, at))
+            if (limiter.try_send(servers, false, at))
                 sent += servers;
-    auto const rate = static_cast<std::size_t>(directory_update_limits{}.copied_servers_per_second);
-    // One second's copies at once, and one copy that is begun with a part of its size.
+    auto const rate = static_cast<std::size_t>(directory_update_limits{}.servers_per_second);
+    // One second's updates at once, and one update that is begun with a part of its size.
     EXPECT_LE(sent, (seconds + 1) * rate + servers);
     EXPECT_GE(sent, (seconds - 2) * rate);
 }
 
 TEST_F(
-    directory_update_limiter_test, try_copy_for_two_hundred_instances_reaches_all_in_four_seconds)
+    directory_update_limiter_test,
+    try_send_of_copies_for_two_hundred_instances_reaches_all_in_four_seconds)
 {
     constexpr int instances = 195;
     std::set<int> missing;
     for (int i = 0; i < instances; ++i)
         missing.insert(i);
     for (auto at = start; at < start + 4s; at += 300ms)
-        std::erase_if(missing, [&](int) { return limiter.try_copy(123, at); });
+        std::erase_if(missing, [&](int) { return limiter.try_send(123, true, at); });
     EXPECT_TRUE(missing.empty());
 }
 
