--- a/tests/integration/gateway_forward_test.cpp
+++ b/tests/integration/gateway_forward_test.cpp
@@ -182,6 +182,23 @@
             "backend-2");
 }
 
+TEST_F(gateway_forward_test, draining_backend_after_many_changes_gets_no_requests)
+{
+    // A response of the store holds two changes; the directory is read every 0.7 s.
+    gateway_deployment::control(system.store(), {{"max_feed_rows", 2}});
+    json others = json::array();
+    for (int i = 0; i < 9; ++i)
+        others.push_back(
+            {{"table", "servers"}, {"key", "other-" + std::to_string(i)}, {"value", "{}"}});
+    gateway_deployment::control(system.store(), {{"put", others}});
+    system.list_backend(0, "draining");
+    std::this_thread::sleep_for(std::chrono::milliseconds{1200});
+    for (int i = 0; i < 6; ++i)
+        EXPECT_EQ(
+            system.send_request("/safe/x", "c" + std::to_string(i)).parsed()["server"],
+            "backend-2");
+}
+
 TEST_F(gateway_forward_test, backend_removed_during_history_drop_gets_no_requests)
 {
     system.remove_backend(0);
--- a/tools/standins/metadata_store.cpp
+++ b/tools/standins/metadata_store.cpp
@@ -141,6 +141,22 @@
             percent_decoded(query_parameter(request.target, "from")), true);
     }
 
+    /// Adds the oldest changes after `since`, as many as one response holds.
+    void add_changes(json& body, std::string const& table, std::uint64_t since) const
+    {
+        std::map<std::uint64_t, json> changes;
+        for (auto const& [name, row] : rows_)
+            if (name.table == table && row.version > since)
+                changes[row.version] = encode_row(name, row);
+        for (auto& [version, row] : changes)
+        {
+            body["truncated"] = body["rows"].size() == max_feed_rows_;
+            if (body["truncated"])
+                return;
+            body["rows"].push_back(std::move(row));
+        }
+    }
+
     net::awaitable<void> feed_rows(standin_request const& request, standin_connection& connection)
     {
         auto const table = percent_decoded(query_parameter(request.target, "table"));
@@ -156,9 +172,7 @@
         for (;;)
         {
             auto body = response_body();
-            for (auto const& [name, row] : rows_)
-                if (name.table == table && row.version > since)
-                    body["rows"].push_back(encode_row(name, row));
+            add_changes(body, table, since);
             if (!body["rows"].empty() || transport::now() >= deadline)
             {
                 co_await send_json(connection, 200, body);
@@ -232,6 +246,8 @@
         down_ = protocol::flag_at(*body, "down", down_);
         delay_ms_ = protocol::integer_at(*body, "delay_ms", delay_ms_);
         lose_answers_ = protocol::integer_at(*body, "lose_answers", lose_answers_);
+        max_feed_rows_ = static_cast<std::size_t>(protocol::integer_at(
+            *body, "max_feed_rows", static_cast<std::int64_t>(max_feed_rows_)));
         if (protocol::flag_at(*body, "drop_history"))
             history_start_ = ++version_;
         co_await send_status(connection, 200);
@@ -245,6 +261,7 @@
     std::int64_t lose_answers_ = 0;
     std::int64_t delay_ms_ = 0;
     bool down_ = false;
+    std::size_t max_feed_rows_ = 500;
 };
 
 } // namespace
