Name a lost attempt's prompt segments and age in its log line

Cause: AW4003 attempt_failed could not tell whether servers crash under requests with a common segment or independently of the requests. Change: fields segments (the deepest four shared ones) and answering_ms (time since the stream's first event). No decision changed.

--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -50,6 +50,20 @@
            status == status_request_timeout || status == status_misdirected;
 }
 
+/// Number of prompt segments that a log line names.
+constexpr std::size_t max_logged_segments = 4;
+
+/// Ids of the segments that other requests may share, the deepest first.
+std::string shared_segments_text(state::forwarded_request const& request)
+{
+    std::string text;
+    auto const& segments = request.segments;
+    std::size_t const shared = segments.empty() ? 0 : segments.size() - 1;
+    for (std::size_t i = 0; i < std::min(shared, max_logged_segments); ++i)
+        text += (i == 0 ? "" : ",") + segments[shared - 1 - i].id;
+    return text;
+}
+
 std::string seconds_with_fraction(state::duration d)
 {
     auto const ms = std::chrono::ceil<std::chrono::milliseconds>(d).count();
@@ -249,6 +263,7 @@
         return refusal || response.request == forwarded_.id.str();
     };
 
+    relay_->begin_attempt();
     ++progress_.attempts;
     tried_.insert(server.listed.id);
     context_.tables.counters.increment(state::event_counter::backend_attempts);
@@ -479,6 +494,12 @@
         state::window_number{static_cast<std::int64_t>(window)}, organisation_->id);
 }
 
+std::string forwarder::answering_text() const
+{
+    auto const began_at = relay_->first_event_at();
+    return began_at ? milliseconds_text(now() - *began_at) : "";
+}
+
 void forwarder::log_attempt(
     state::server_view const& server, std::string_view cause, std::string next)
 {
@@ -488,6 +509,8 @@
                                     {"send", std::to_string(progress_.attempts)},
                                     {"cause", std::string{cause}},
                                     {"next", std::move(next)},
+                                    {"segments", shared_segments_text(forwarded_)},
+                                    {"answering_ms", answering_text()},
                                     {"after_ms", milliseconds_text(now() - arrived_at_)},
                                     {"left_ms", milliseconds_text(time_left())}});
 }
--- a/src/transport/forwarder.hpp
+++ b/src/transport/forwarder.hpp
@@ -42,6 +42,8 @@
     void end_attempt(state::server_view const& server, state::server_outcome outcome);
     void record_execution_start();
     void log_attempt(state::server_view const& server, std::string_view cause, std::string next);
+    /// How long the attempt's stream has sent events, in ms; empty before the first.
+    std::string answering_text() const;
     state::duration time_left() const;
     gateway_headers gateway_headers_for(state::server_view const& server) const;
 
--- a/src/transport/response_relay.cpp
+++ b/src/transport/response_relay.cpp
@@ -138,7 +138,10 @@
             co_return relay_result::malformed;
         auto ready = events.take_complete_events();
         if (events.last_had_content())
+        {
             silent_since = now();
+            first_event_at_ = first_event_at_.value_or(silent_since);
+        }
         if (ended)
             ready += events.take_remainder();
         if (!events.last_id().empty())
--- a/src/transport/response_relay.hpp
+++ b/src/transport/response_relay.hpp
@@ -51,6 +51,12 @@
     /// Id of the last event that was forwarded; empty before the first.
     std::string const& last_event_id() const { return last_event_id_; }
 
+    /// When the current server's first event arrived; null before it.
+    std::optional<state::time_point> first_event_at() const { return first_event_at_; }
+
+    /// Forgets the times of the server that was tried before.
+    void begin_attempt() { first_event_at_.reset(); }
+
 private:
     caller_response response_header(http_stream const& response) const;
     state::duration time_left() const;
@@ -60,6 +66,7 @@
     response_writer& writer_;
     relayed_request request_;
     bool started_ = false;
+    std::optional<state::time_point> first_event_at_;
     std::string last_event_id_;
 };
 
