--- a/src/protocol/element_reader.hpp
+++ b/src/protocol/element_reader.hpp
@@ -74,6 +74,9 @@
         return e;
     }
 
+    /// Whether there is another element and it is an array.
+    bool next_is_array() const { return !at_end() && message_[index_].is_array(); }
+
     bool at_end() const { return index_ == message_.size(); }
 
 private:
--- a/src/protocol/gateway_settings.cpp
+++ b/src/protocol/gateway_settings.cpp
@@ -103,7 +103,12 @@
             100, 600000, &settings::write_timeout),
         milliseconds_option(
             "body_timeout_ms", "timeout for receiving a request body from a caller", "15000", 100,
-            600000, &settings::body_timeout)};
+            600000, &settings::body_timeout),
+        seconds_option(
+            "segment_quarantine_s",
+            "time for which requests with a prompt segment that crashes backend servers are "
+            "refused",
+            "600", 1.0, 43200.0, &settings::segment_quarantine)};
     return table;
 }
 
--- a/src/protocol/gateway_settings.hpp
+++ b/src/protocol/gateway_settings.hpp
@@ -48,6 +48,7 @@
     state::duration connect_timeout{0};
     state::duration write_timeout{0};
     state::duration body_timeout{0};
+    state::duration segment_quarantine{0};
 };
 
 /// Parses a text with one `[gateway]` section. All findings are appended to `out`.
--- a/src/protocol/gateway_status.cpp
+++ b/src/protocol/gateway_status.cpp
@@ -63,6 +63,13 @@
         {"failure_share", server.failure_share}};
 }
 
+json encode_quarantined_segment(state::segment_verdict const& verdict)
+{
+    return {
+        {"segment_hash", hexadecimal(verdict.segment.count())},
+        {"refused_for_ms", milliseconds(verdict.age)}};
+}
+
 } // namespace
 
 std::string encode_status(gateway_status const& status)
@@ -77,9 +84,12 @@
         {"duties_held_by", status.duties_holder.str()},
         {"configuration", encode_configuration(status)},
         {"instances", json::array()},
+        {"quarantined_segments", json::array()},
         {"backends", json::array()}};
     for (auto const& instance : status.instances)
         out["instances"].push_back(encode_instance(instance, status.now));
+    for (auto const& verdict : status.quarantined_segments)
+        out["quarantined_segments"].push_back(encode_quarantined_segment(verdict));
     for (auto const& server : status.servers)
         out["backends"].push_back(encode_server(server, status.now));
     return dump(out);
--- a/src/protocol/gateway_status.hpp
+++ b/src/protocol/gateway_status.hpp
@@ -3,6 +3,7 @@
 
 #include "state/instance_report_table.hpp"
 #include "state/route_set.hpp"
+#include "state/segment_evidence.hpp"
 #include "state/server_table.hpp"
 
 #include <string>
@@ -25,6 +26,7 @@
     state::instance_id duties_holder;                 ///< empty when unknown
     std::vector<state::reporting_instance> instances; ///< the others; only set on the duty holder
     std::vector<state::server_view> servers;
+    std::vector<state::segment_verdict> quarantined_segments;
     state::time_point now{};
 };
 
--- a/src/protocol/instance_report_codec.cpp
+++ b/src/protocol/instance_report_codec.cpp
@@ -1,5 +1,7 @@
 #include "protocol/instance_report_codec.hpp"
 
+#include "protocol/segment_evidence_codec.hpp"
+
 namespace auburnweir::protocol
 {
 
@@ -165,11 +167,14 @@
     out.push_back(report.digest.count());
     out.push_back(report.isolated);
     out.push_back(encode_uses(report.uses));
-    if (!report.details)
-        return;
-    out.push_back(report.details->wall_offset.count());
-    out.push_back(report.details->usage_complete_until.count());
-    out.push_back(encode_usage(report.details->usage));
+    if (report.details)
+    {
+        out.push_back(report.details->wall_offset.count());
+        out.push_back(report.details->usage_complete_until.count());
+        out.push_back(encode_usage(report.details->usage));
+    }
+    if (report.segments != state::segment_observations{})
+        out.push_back(encode_observations(report.segments));
 }
 
 state::instance_report read_report(element_reader& in)
@@ -186,12 +191,15 @@
     report.digest = state::directory_digest{in.unsigned_integer()};
     report.isolated = in.flag();
     report.uses = read_uses(in.array());
-    if (in.at_end())
-        return report;
-    auto& details = report.details.emplace();
-    details.wall_offset = std::chrono::milliseconds{in.integer()};
-    details.usage_complete_until = std::chrono::milliseconds{in.integer()};
-    details.usage = read_usage(in.array());
+    if (!in.at_end() && !in.next_is_array())
+    {
+        auto& details = report.details.emplace();
+        details.wall_offset = std::chrono::milliseconds{in.integer()};
+        details.usage_complete_until = std::chrono::milliseconds{in.integer()};
+        details.usage = read_usage(in.array());
+    }
+    if (!in.at_end())
+        report.segments = read_observations(in.array());
     return report;
 }
 
@@ -210,6 +218,8 @@
         response.operator_rows ? encode_rows_status(*response.operator_rows) : json::array());
     if (response.wall_offset)
         out.push_back(response.wall_offset->count());
+    if (response.segments != state::segment_verdicts{})
+        out.push_back(encode_verdicts(response.segments));
 }
 
 state::report_response read_report_response(element_reader& in)
@@ -227,8 +237,10 @@
     response.directory_withheld = in.flag();
     if (auto const& status = in.array(); !status.empty())
         response.operator_rows = read_rows_status(status);
-    if (!in.at_end())
+    if (!in.at_end() && !in.next_is_array())
         response.wall_offset = std::chrono::milliseconds{in.integer()};
+    if (!in.at_end())
+        response.segments = read_verdicts(in.array());
     return response;
 }
 
--- a/src/protocol/json.cpp
+++ b/src/protocol/json.cpp
@@ -54,6 +54,15 @@
     return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+std::string hexadecimal(std::uint64_t value)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text(16, '0');
+    for (auto digit = text.rbegin(); value != 0; ++digit, value >>= 4U)
+        *digit = digits[value & 0xFU];
+    return text;
+}
+
 std::string text_at(nlohmann::json const& object, char const* key, std::string fallback)
 {
     auto const* m = member(object, key);
--- a/src/protocol/json.hpp
+++ b/src/protocol/json.hpp
@@ -17,6 +17,9 @@
 /// Serializes a value; invalid UTF-8 is replaced.
 std::string dump(nlohmann::json const& value);
 
+/// The value as 16 lower-case hexadecimal digits.
+std::string hexadecimal(std::uint64_t value);
+
 /// A member of an object as text, or `fallback` when it is absent or of another type.
 std::string text_at(nlohmann::json const& object, char const* key, std::string fallback = {});
 
--- a/src/protocol/problem.cpp
+++ b/src/protocol/problem.cpp
@@ -65,6 +65,7 @@
     case r::configuration_stale:
     case r::backend_full:
     case r::request_memory_exhausted:
+    case r::segment_quarantined:
     case r::count_:
         break;
     }
--- /dev/null
+++ b/src/protocol/segment_evidence_codec.cpp
@@ -0,0 +1,121 @@
+#include "protocol/segment_evidence_codec.hpp"
+
+#include "protocol/element_reader.hpp"
+
+namespace auburnweir::protocol
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t max_list_length = 64;
+constexpr std::uint64_t max_revision = 1U << 31U;
+/// Verdicts are kept for twice the longest quarantine that the settings allow.
+constexpr state::duration max_age = std::chrono::hours{24};
+
+json const& read_list(element_reader& in)
+{
+    auto const& list = in.array();
+    require(list.size() <= max_list_length, "list is too long");
+    return list;
+}
+
+state::duration read_age(element_reader& in)
+{
+    state::duration const age{in.integer()};
+    require(age >= state::duration::zero() && age <= max_age, "age is out of range");
+    return age;
+}
+
+json encode_verdict_list(std::vector<state::segment_verdict> const& verdicts)
+{
+    auto out = json::array();
+    for (auto const& v : verdicts)
+        out.push_back(json::array({v.segment.count(), v.revision, v.quarantined, v.age.count()}));
+    return out;
+}
+
+std::vector<state::segment_verdict> read_verdict_list(json const& from)
+{
+    std::vector<state::segment_verdict> verdicts;
+    for (auto const& e : from)
+    {
+        element_reader in(e);
+        state::segment_verdict v;
+        v.segment = state::segment_hash{in.unsigned_integer()};
+        v.revision = in.unsigned_integer();
+        require(v.revision <= max_revision, "revision is too large");
+        v.quarantined = in.flag();
+        v.age = read_age(in);
+        verdicts.push_back(v);
+    }
+    return verdicts;
+}
+
+} // namespace
+
+json encode_observations(state::segment_observations const& observations)
+{
+    auto crashes = json::array();
+    for (auto const& c : observations.crashes)
+        crashes.push_back(json::array({c.segment.count(), c.server.count(), c.age.count()}));
+    auto survivals = json::array();
+    for (auto const& s : observations.survivals)
+        survivals.push_back(json::array({s.segment.count(), s.age.count()}));
+    return json::array(
+        {std::move(crashes), std::move(survivals), observations.digest.count(),
+         encode_verdict_list(observations.verdicts)});
+}
+
+state::segment_observations read_observations(json const& from)
+{
+    element_reader in(from);
+    state::segment_observations observations;
+    for (auto const& e : read_list(in))
+    {
+        element_reader crash(e);
+        state::segment_crash c;
+        c.segment = state::segment_hash{crash.unsigned_integer()};
+        c.server = state::server_process_hash{crash.unsigned_integer()};
+        c.age = read_age(crash);
+        observations.crashes.push_back(c);
+    }
+    for (auto const& e : read_list(in))
+    {
+        element_reader survival(e);
+        state::segment_survival s;
+        s.segment = state::segment_hash{survival.unsigned_integer()};
+        s.age = read_age(survival);
+        observations.survivals.push_back(s);
+    }
+    observations.digest = state::verdicts_digest{in.unsigned_integer()};
+    observations.verdicts = read_verdict_list(read_list(in));
+    return observations;
+}
+
+json encode_verdicts(state::segment_verdicts const& verdicts)
+{
+    auto suspects = json::array();
+    for (auto const& segment : verdicts.suspects)
+        suspects.push_back(segment.count());
+    return json::array(
+        {std::move(suspects), verdicts.digest.count(), encode_verdict_list(verdicts.verdicts)});
+}
+
+state::segment_verdicts read_verdicts(json const& from)
+{
+    element_reader in(from);
+    state::segment_verdicts verdicts;
+    for (auto const& e : read_list(in))
+    {
+        require(e.is_number_unsigned(), "element is not an unsigned number");
+        verdicts.suspects.emplace_back(e.get<std::uint64_t>());
+    }
+    verdicts.digest = state::verdicts_digest{in.unsigned_integer()};
+    verdicts.verdicts = read_verdict_list(read_list(in));
+    return verdicts;
+}
+
+} // namespace auburnweir::protocol
--- a/src/state/instance_report.hpp
+++ b/src/state/instance_report.hpp
@@ -4,6 +4,7 @@
 #include "state/configuration.hpp"
 #include "state/directory_log.hpp"
 #include "state/ids.hpp"
+#include "state/segment_evidence.hpp"
 #include "state/time.hpp"
 #include "state/usage_table.hpp"
 
@@ -54,6 +55,7 @@
     bool isolated = false;      ///< gets no response from a holder and grants only its local shares
     quota_uses uses;
     std::optional<instance_details> details;
+    segment_observations segments;
 
     friend bool operator==(instance_report const&, instance_report const&) = default;
 };
--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -37,6 +37,7 @@
         "backend_full",
         "request_memory_exhausted",
         "response_memory_exhausted",
+        "segment_quarantined",
     };
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(retry_reason::count_)>
@@ -48,10 +49,8 @@
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(give_up_reason::count_)>
     give_up_reason_names{
-        "not_idempotent",
-        "budget_exhausted",
-        "deadline_too_close",
-        "attempts_exhausted",
+        "not_idempotent",     "budget_exhausted",    "deadline_too_close",
+        "attempts_exhausted", "segment_quarantined",
     };
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(event_counter::count_)>
@@ -84,6 +83,9 @@
         "usage_reports_sent",
         "fleet_orders_sent",
         "store_calls",
+        "backend_crashes_seen",
+        "segments_quarantined",
+        "segments_released",
     };
 
 } // namespace
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -38,6 +38,7 @@
     backend_full,
     request_memory_exhausted,
     response_memory_exhausted,
+    segment_quarantined,
     count_
 };
 
@@ -63,6 +64,7 @@
     budget_exhausted,
     deadline_too_close,
     attempts_exhausted,
+    segment_quarantined,
     count_
 };
 
@@ -97,6 +99,9 @@
     usage_reports_sent,
     fleet_orders_sent,
     store_calls,
+    backend_crashes_seen,
+    segments_quarantined,
+    segments_released,
     count_
 };
 
--- a/src/state/report_response.hpp
+++ b/src/state/report_response.hpp
@@ -29,6 +29,7 @@
     bool directory_withheld = false;
     std::optional<operator_rows_status> operator_rows;    ///< null until the holder has read them
     std::optional<std::chrono::milliseconds> wall_offset; ///< true time minus store clock
+    segment_verdicts segments;
 
     friend bool operator==(report_response const&, report_response const&) = default;
 };
--- /dev/null
+++ b/src/state/segment_evidence.hpp
@@ -0,0 +1,78 @@
+#ifndef AUBURNWEIR_STATE_SEGMENT_EVIDENCE_HPP
+#define AUBURNWEIR_STATE_SEGMENT_EVIDENCE_HPP
+
+#include "state/ids.hpp"
+#include "state/time.hpp"
+
+#include <vector>
+
+namespace auburnweir::state
+{
+
+/// Hash of a prompt segment's id. Ids are callers' text of any length; tables and messages keep the
+/// hash.
+using segment_hash = quantity<struct segment_hash_unit, std::uint64_t>;
+
+using segment_hashes = std::vector<segment_hash>;
+
+/// One process of a backend server, as a hash of its id and incarnation.
+using server_process_hash = quantity<struct server_process_unit, std::uint64_t>;
+
+/// A server process ended while it had a request with this segment and had not answered it.
+struct segment_crash
+{
+    segment_hash segment;
+    server_process_hash server;
+    duration age{0}; ///< time since the crash when the message was made
+
+    friend bool operator==(segment_crash const&, segment_crash const&) = default;
+};
+
+/// A server answered a request with this segment.
+struct segment_survival
+{
+    segment_hash segment;
+    duration age{0}; ///< time since the answer when the message was made
+
+    friend bool operator==(segment_survival const&, segment_survival const&) = default;
+};
+
+/// Whether requests with a segment are refused because they crash servers. The verdict with the
+/// higher revision is the newer one.
+struct segment_verdict
+{
+    segment_hash segment;
+    std::uint64_t revision = 0;
+    bool quarantined = true;
+    duration age{0}; ///< time since the verdict when the message was made
+
+    friend bool operator==(segment_verdict const&, segment_verdict const&) = default;
+};
+
+/// Identifies the verdicts that an instance knows, in any order; 0: none.
+using verdicts_digest = quantity<struct verdicts_digest_unit, std::uint64_t>;
+
+/// What an instance's report says of segments.
+struct segment_observations
+{
+    std::vector<segment_crash> crashes;
+    std::vector<segment_survival> survivals;
+    verdicts_digest digest{0};
+    std::vector<segment_verdict> verdicts; ///< only when the holder's digest differed
+
+    friend bool operator==(segment_observations const&, segment_observations const&) = default;
+};
+
+/// What the response to a report says of segments.
+struct segment_verdicts
+{
+    segment_hashes suspects; ///< segments whose answers the reports are to name
+    verdicts_digest digest{0};
+    std::vector<segment_verdict> verdicts; ///< only when the report's digest differed
+
+    friend bool operator==(segment_verdicts const&, segment_verdicts const&) = default;
+};
+
+} // namespace auburnweir::state
+
+#endif
--- /dev/null
+++ b/src/transport/attempt_recorder.cpp
@@ -0,0 +1,104 @@
+#include "transport/attempt_recorder.hpp"
+
+#include "coordination/ejection_policy.hpp"
+#include "protocol/json.hpp"
+#include "transport/async_signal.hpp"
+#include "transport/log.hpp"
+
+namespace auburnweir::transport
+{
+
+namespace
+{
+
+/// Time from the first lost request to the check of its server: the others are lost meanwhile, and
+/// the server's process ends.
+constexpr state::duration check_delay = std::chrono::milliseconds{50};
+
+state::server_process_hash process_of(state::server_view const& server)
+{
+    return coordination::hash_of_process(server.listed.id, server.listed.incarnation);
+}
+
+} // namespace
+
+void attempt_recorder::record_end(state::server_view const& server, state::server_outcome outcome)
+{
+    auto& servers = context_.tables.servers;
+    auto const view = servers.record_end(server.listed.id, outcome, now());
+    if (!view)
+        return;
+    auto const others = servers.all(server.listed.service);
+    auto const ejected_until = coordination::decide_ejection(*view, others, now());
+    if (!ejected_until)
+        return;
+    servers.eject(server.listed.id, *ejected_until);
+    context_.tables.counters.increment(state::event_counter::backends_ejected);
+    auto const eject_for = std::chrono::ceil<std::chrono::milliseconds>(*ejected_until - now());
+    log(log_event::backend_ejected, {{"backend", server.listed.id.str()},
+                                     {"failures_in_row", std::to_string(view->failures_in_row)},
+                                     {"failure_share", std::to_string(view->failure_share)},
+                                     {"for_ms", std::to_string(eject_for.count())}});
+}
+
+void attempt_recorder::record_loss(
+    state::server_view const& server, state::forwarded_request const& request)
+{
+    bool const check_is_due = context_.tables.segment_quarantine.record_loss(
+        process_of(server), coordination::shared_segment_hashes(request), now());
+    if (!check_is_due)
+        return;
+    auto check = check_server(context_, worker_, server);
+    net::co_spawn(worker_.io(), std::move(check), net::detached);
+}
+
+void attempt_recorder::record_answer(state::forwarded_request const& request)
+{
+    auto const changes = context_.tables.segment_quarantine.record_answer(
+        coordination::shared_segment_hashes(request), now());
+    record_verdict_changes(context_, changes);
+}
+
+void attempt_recorder::record_unreachable(state::server_view const& server)
+{
+    confirm_crash(context_, server);
+}
+
+net::awaitable<void> attempt_recorder::check_server(
+    gateway_context& context, worker& assigned_worker, state::server_view server)
+{
+    co_await sleep_for(assigned_worker.io(), check_delay);
+    bool const is_reachable = co_await assigned_worker.http().can_connect(
+        server.listed.address, context.settings.connect_timeout);
+    if (is_reachable)
+        context.tables.segment_quarantine.dismiss_losses(process_of(server));
+    else
+        confirm_crash(context, server);
+}
+
+void attempt_recorder::confirm_crash(gateway_context& context, state::server_view const& server)
+{
+    if (!context.tables.segment_quarantine.confirm_crash(process_of(server), now()))
+        return;
+    context.tables.counters.increment(state::event_counter::backend_crashes_seen);
+    log(log_event::backend_crashed,
+        {{"backend", server.listed.id.str()},
+         {"incarnation", std::to_string(server.listed.incarnation.count())}});
+}
+
+void record_verdict_changes(
+    gateway_context& context, std::vector<coordination::verdict_change> const& changes)
+{
+    for (auto const& change : changes)
+    {
+        context.tables.counters.increment(
+            change.quarantined ? state::event_counter::segments_quarantined
+                               : state::event_counter::segments_released);
+        log(change.quarantined ? log_event::segment_quarantined : log_event::segment_released,
+            {{"segment_hash", protocol::hexadecimal(change.segment.count())},
+             {"crashes", std::to_string(change.crashes)},
+             {"decided_here", change.decided_here ? "yes" : "no"}});
+    }
+}
+
+} // namespace auburnweir::transport
--- /dev/null
+++ b/src/transport/attempt_recorder.hpp
@@ -0,0 +1,52 @@
+#ifndef AUBURNWEIR_TRANSPORT_ATTEMPT_RECORDER_HPP
+#define AUBURNWEIR_TRANSPORT_ATTEMPT_RECORDER_HPP
+
+#include "coordination/segment_quarantine.hpp"
+#include "transport/gateway_context.hpp"
+
+namespace auburnweir::transport
+{
+
+/// Records what the attempts of requests show of backend servers and prompt segments: ejects
+/// failing servers, and checks whether a server that broke off a request has crashed.
+class attempt_recorder
+{
+public:
+    attempt_recorder(gateway_context& context, worker& assigned_worker)
+        : context_(context)
+        , worker_(assigned_worker)
+    {
+    }
+
+    /// Records the end of an attempt for the server's health.
+    void record_end(state::server_view const& server, state::server_outcome outcome);
+
+    /// Records that the server broke off the request before it had answered for
+    /// `min_answering_time`.
+    void record_loss(state::server_view const& server, state::forwarded_request const& request);
+
+    void record_answer(state::forwarded_request const& request);
+
+    /// Records that the server accepts no connections.
+    void record_unreachable(state::server_view const& server);
+
+    /// A stream that has sent events for this long is answered: servers that crash under a request
+    /// do so when they begin to answer it.
+    static constexpr state::duration min_answering_time = std::chrono::seconds{1};
+
+private:
+    static net::awaitable<void> check_server(
+        gateway_context& context, worker& assigned_worker, state::server_view server);
+    static void confirm_crash(gateway_context& context, state::server_view const& server);
+
+    gateway_context& context_;
+    worker& worker_;
+};
+
+/// Counts and logs changes of the segments' verdicts.
+void record_verdict_changes(
+    gateway_context& context, std::vector<coordination::verdict_change> const& changes);
+
+} // namespace auburnweir::transport
+
+#endif
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -1,6 +1,5 @@
 #include "transport/forwarder.hpp"
 
-#include "coordination/ejection_policy.hpp"
 #include "state/overloaded.hpp"
 #include "transport/log.hpp"
 
@@ -23,7 +22,6 @@
 constexpr state::duration max_idle_for_at_most_once = std::chrono::milliseconds{1000};
 
 /// Retry-After of refusals, by cause.
-constexpr state::duration retry_delay_when_full = std::chrono::milliseconds{400};
 constexpr state::duration retry_delay_when_unready = std::chrono::milliseconds{700};
 constexpr state::duration retry_delay_when_stopping = std::chrono::milliseconds{50};
 constexpr int first_server_error_status = 500;
@@ -82,6 +80,7 @@
     , writer_(writer)
     , request_(std::move(request))
     , arrived_at_(arrived_at)
+    , recorder_(context, assigned_worker)
 {
 }
 
@@ -201,6 +200,11 @@
 {
     while (!done_ && !cancel_->cancelled())
     {
+        if (auto const segment = context_.tables.segment_quarantine.find(forwarded_, now()))
+        {
+            co_await finish_quarantined(*segment);
+            co_return;
+        }
         auto const servers = candidates();
         coordination::choice_request choice;
         choice.failure_domain = context_.settings.failure_domain;
@@ -276,19 +280,22 @@
     }
     if (cancel_->cancelled())
     {
-        end_attempt(server, server_outcome::abandoned);
+        recorder_.record_end(server, server_outcome::abandoned);
         co_return;
     }
     if (opened.error() == http_error::connect_failed)
     {
-        end_attempt(server, server_outcome::unreachable);
+        recorder_.record_end(server, server_outcome::unreachable);
+        recorder_.record_unreachable(server);
         attempt_not_run const failed{retry_reason::connect_failed};
         co_await handle_failed_attempt(server, failed);
         co_return;
     }
     ++progress_.possibly_executed;
     bool const timed_out = opened.error() == http_error::timed_out;
-    end_attempt(server, timed_out ? server_outcome::unreachable : server_outcome::failed);
+    recorder_.record_end(server, timed_out ? server_outcome::unreachable : server_outcome::failed);
+    if (!timed_out)
+        recorder_.record_loss(server, forwarded_);
     if (!route_->streaming)
         record_execution_start();
     co_await handle_failed_attempt(server, attempt_lost{timed_out});
@@ -304,7 +311,7 @@
     if (backend_values.not_run)
     {
         co_await response.discard_rest();
-        end_attempt(server, server_outcome::refused);
+        recorder_.record_end(server, server_outcome::refused);
         bool const misdirected = status == status_misdirected;
         co_await handle_failed_attempt(
             server, attempt_not_run{
@@ -322,7 +329,7 @@
         bool const retry_is_allowed =
             std::holds_alternative<coordination::retry_elsewhere>(decision) &&
             context_.tables.retry_budget.try_acquire(service_, now());
-        end_attempt(server, server_outcome::failed);
+        recorder_.record_end(server, server_outcome::failed);
         if (retry_is_allowed)
         {
             co_await response.discard_rest();
@@ -346,7 +353,10 @@
     if (!relay_->last_event_id().empty())
         resume_after_ = relay_->last_event_id();
     if (!failed)
-        end_attempt(server, outcome_of(result));
+    {
+        recorder_.record_end(server, outcome_of(result));
+        record_segments(server, status, result);
+    }
     switch (result)
     {
     case relay_result::complete:
@@ -411,15 +421,27 @@
     }
 }
 
-net::awaitable<void> forwarder::finish_not_run(refusal_reason reason)
+net::awaitable<void> forwarder::finish_not_run(refusal_reason reason, state::duration retry_after)
 {
     done_ = true;
     if (organisation_)
         context_.tables.quotas.refund(organisation_->id, quota_cost_);
-    set_refusal(reason, retry_delay_when_full, "");
+    set_refusal(reason, retry_after, "");
     co_await send_refusal();
 }
 
+net::awaitable<void> forwarder::finish_quarantined(coordination::quarantined_segment const& segment)
+{
+    quarantined_segment_ = segment.id;
+    if (progress_.possibly_executed == 0)
+    {
+        co_await finish_not_run(refusal_reason::segment_quarantined, segment.remaining);
+        co_return;
+    }
+    context_.tables.counters.increment(state::give_up_reason::segment_quarantined);
+    co_await finish_with_unknown_outcome(refusal_reason::backend_failed);
+}
+
 net::awaitable<void> forwarder::finish_with_unknown_outcome(refusal_reason reason)
 {
     done_ = true;
@@ -456,6 +478,7 @@
         {{"request", forwarded_.id.str()},
          {"route", route_ ? route_->id.str() : ""},
          {"reason", std::string{name_of(p.reason)}},
+         {"segment", quarantined_segment_},
          {"status", std::to_string(status)},
          {"ran", std::string{protocol::name_of(p.outcome)}},
          {"sends", std::to_string(progress_.attempts)},
@@ -465,22 +488,15 @@
     co_await writer_.send(std::move(reply));
 }
 
-void forwarder::end_attempt(state::server_view const& server, server_outcome outcome)
+void forwarder::record_segments(state::server_view const& server, int status, relay_result result)
 {
-    auto& servers = context_.tables.servers;
-    auto const view = servers.record_end(server.listed.id, outcome, now());
-    if (!view)
-        return;
-    auto const others = servers.all(server.listed.service);
-    auto const ejected_until = coordination::decide_ejection(*view, others, now());
-    if (!ejected_until)
-        return;
-    servers.eject(server.listed.id, *ejected_until);
-    context_.tables.counters.increment(state::event_counter::backends_ejected);
-    log(log_event::backend_ejected, {{"backend", server.listed.id.str()},
-                                     {"failures_in_row", std::to_string(view->failures_in_row)},
-                                     {"failure_share", std::to_string(view->failure_share)},
-                                     {"for_ms", milliseconds_text(*ejected_until - now())}});
+    auto const began_at = relay_->first_event_at();
+    bool const answers = began_at && now() - *began_at >= attempt_recorder::min_answering_time;
+    bool const succeeded = result == relay_result::complete && is_success(status);
+    if (succeeded || answers)
+        recorder_.record_answer(forwarded_);
+    else if (result == relay_result::interrupted)
+        recorder_.record_loss(server, forwarded_);
 }
 
 void forwarder::record_execution_start()
--- a/src/transport/forwarder.hpp
+++ b/src/transport/forwarder.hpp
@@ -4,6 +4,7 @@
 #include "coordination/attempt_policy.hpp"
 #include "coordination/request_admission.hpp"
 #include "coordination/server_choice.hpp"
+#include "transport/attempt_recorder.hpp"
 #include "transport/caller_watch.hpp"
 #include "transport/gateway_context.hpp"
 #include "transport/response_relay.hpp"
@@ -26,6 +27,9 @@
     net::awaitable<void> run();
 
 private:
+    /// Retry-After when every server that was tried is full.
+    static constexpr state::duration retry_delay_when_full = std::chrono::milliseconds{400};
+
     bool admit();
     std::vector<state::server_view> candidates() const;
     bool may_resume_elsewhere();
@@ -34,12 +38,14 @@
     net::awaitable<void> handle_response(state::server_view const& server, http_stream response);
     net::awaitable<void> handle_failed_attempt(
         state::server_view const& server, coordination::failed_attempt_kind failed);
-    net::awaitable<void> finish_not_run(state::refusal_reason reason);
+    net::awaitable<void> finish_not_run(
+        state::refusal_reason reason, state::duration retry_after = retry_delay_when_full);
+    net::awaitable<void> finish_quarantined(coordination::quarantined_segment const& segment);
     net::awaitable<void> finish_with_unknown_outcome(state::refusal_reason reason);
     net::awaitable<void> send_refusal();
 
     void set_refusal(state::refusal_reason reason, state::duration retry_after, std::string detail);
-    void end_attempt(state::server_view const& server, state::server_outcome outcome);
+    void record_segments(state::server_view const& server, int status, relay_result result);
     void record_execution_start();
     void log_attempt(state::server_view const& server, std::string_view cause, std::string next);
     /// How long the attempt's stream has sent events, in ms; empty before the first.
@@ -64,10 +70,12 @@
     double quota_cost_ = 0;
 
     std::shared_ptr<call_cancellation> cancel_ = std::make_shared<call_cancellation>();
+    attempt_recorder recorder_;
     std::set<state::backend_id> tried_;
     coordination::attempt_progress progress_;
     std::optional<response_relay> relay_; ///< set when the request is admitted
     std::string resume_after_;
+    std::string quarantined_segment_; ///< id of the segment for which the request is refused
     bool done_ = false;
     bool caller_left_ = false;
     std::optional<protocol::problem> refusal_;
--- a/src/transport/gateway_server.cpp
+++ b/src/transport/gateway_server.cpp
@@ -158,6 +158,9 @@
     protocol::append_gauge(reply.body, "configuration_age_seconds", age);
     protocol::append_gauge(
         reply.body, "requests_in_progress", static_cast<double>(activity.value()));
+    protocol::append_gauge(
+        reply.body, "quarantined_segments",
+        static_cast<double>(tables.segment_quarantine.quarantined_count(now())));
     protocol::append_gauge(
         reply.body, "log_lines_dropped", static_cast<double>(log_lines_dropped()));
     if (auto const routes = tables.routes.current())
@@ -181,6 +184,7 @@
     status.routes_age = tables.routes.age(status.now);
     status.instances = tables.instance_reports.all();
     status.servers = tables.servers.snapshot();
+    status.quarantined_segments = tables.segment_quarantine.verdicts(status.now);
     caller_response reply;
     reply.body = protocol::encode_status(status);
     return reply;
--- a/src/transport/gateway_tables.hpp
+++ b/src/transport/gateway_tables.hpp
@@ -2,6 +2,7 @@
 #define AUBURNWEIR_TRANSPORT_GATEWAY_TABLES_HPP
 
 #include "coordination/retry_budget.hpp"
+#include "coordination/segment_quarantine.hpp"
 #include "coordination/shared_quota.hpp"
 #include "protocol/gateway_settings.hpp"
 #include "state/counters.hpp"
@@ -24,6 +25,7 @@
     explicit gateway_tables(protocol::gateway_settings const& settings)
         : quotas(granted_quota_share)
         , retry_budget(retry_limits_for(settings))
+        , segment_quarantine(quarantine_settings_for(settings))
         , usage(max_usage_windows)
         , buffer_memory(state::byte_count{settings.memory_limit.count() / buffer_memory_divisor})
     {
@@ -48,12 +50,23 @@
         return {s.repeat_ratio, initial_retry_slack, s.repeat_window};
     }
 
+    static coordination::quarantine_settings quarantine_settings_for(
+        protocol::gateway_settings const& s)
+    {
+        coordination::quarantine_settings result;
+        // The suspicion reaches all instances with their next report, their answers with the next.
+        result.settle_time = 3 * s.report_period;
+        result.quarantine = s.segment_quarantine;
+        return result;
+    }
+
     state::route_table routes;
     state::server_table servers;
     state::directory_log directory_log;
     state::rollout_table rollouts;
     coordination::shared_quota quotas;
     coordination::retry_budget retry_budget;
+    coordination::segment_quarantine segment_quarantine;
     state::usage_table usage;
     state::instance_report_table instance_reports;
     state::memory_budget buffer_memory;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -324,6 +324,12 @@
     co_return std::move(c);
 }
 
+net::awaitable<bool> http_client::can_connect(state::endpoint to, state::duration timeout)
+{
+    auto const opened = co_await connect(std::move(to), timeout);
+    co_return opened.has_value();
+}
+
 void http_client::start_write(connection_ptr c, http::request<http::string_body> request)
 {
     // Not awaited before the read: a response may arrive before the request is completely written.
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -164,6 +164,10 @@
     net::awaitable<http_result<http_stream>> open(
         auburnweir::state::endpoint to, http_request request, call_policy policy);
 
+    /// Whether a new connection to the endpoint can be opened. Sends nothing on it.
+    net::awaitable<bool> can_connect(
+        auburnweir::state::endpoint to, auburnweir::state::duration timeout);
+
     /// Closes the idle connections to an endpoint.
     void close_idle(auburnweir::state::endpoint const& to);
 
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -101,6 +101,12 @@
          "a backend server was removed from the directory and gets no more requests"},
         {e::backend_row_unreadable, l::warning, "backend_row_unreadable",
          "a row of the directory does not describe a usable backend server"},
+        {e::backend_crashed, l::warning, "backend_crashed",
+         "a backend server broke off requests with a prompt and accepts no connections"},
+        {e::segment_quarantined, l::warning, "segment_quarantined",
+         "requests with a prompt segment crash backend servers and are refused from now on"},
+        {e::segment_released, l::info, "segment_released",
+         "a request with a quarantined segment was answered; such requests are accepted again"},
         {e::stream_moved, l::info, "stream_moved", "an answer continues on another backend server"},
         {e::stream_failed, l::warning, "stream_failed", "an answer could not be completed"},
         {e::journal_adopted, l::warning, "journal_adopted",
@@ -131,7 +137,10 @@
         {e::request_refused, l::info, "request_refused",
          "the gateway itself responded to a request"},
         {e::attempt_failed, l::info, "attempt_failed",
-         "an attempt at a backend server failed; `next` names the next step"},
+         "an attempt at a backend server failed; `next` names the next step, `segments` the "
+         "deepest "
+         "four shared segments of the prompt, `answering_ms` how long the stream had sent events "
+         "(empty: none yet)"},
         {e::caller_left, l::info, "caller_left",
          "a caller closed its connection; its request was cancelled"},
         {e::answer_broken_off, l::warning, "answer_broken_off",
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -1,6 +1,7 @@
 #include "transport/peer_exchange.hpp"
 
 #include "transport/async_signal.hpp"
+#include "transport/attempt_recorder.hpp"
 #include "transport/log.hpp"
 
 #include <algorithm>
@@ -17,8 +18,8 @@
 /// Newest windows whose usage reports carry to a holder that knows the older ones.
 constexpr std::size_t recent_usage_windows = 4;
 
-/// Report period while a quota runs low.
-constexpr state::duration low_quota_report_period = std::chrono::milliseconds{100};
+/// Report period while a quota runs low or a crash of a server is to be reported.
+constexpr state::duration urgent_report_period = std::chrono::milliseconds{100};
 
 /// Silence of the holder, in report periods, after which the link to it is closed.
 constexpr int max_silent_periods = 5;
@@ -62,7 +63,7 @@
     subscriptions_.push_back(
         context_.timers.every(context_.settings.report_period, [this] { tick(); }));
     subscriptions_.push_back(
-        context_.timers.every(low_quota_report_period, [this] { report_if_quotas_run_low(); }));
+        context_.timers.every(urgent_report_period, [this] { report_if_urgent(); }));
 }
 
 net::awaitable<void> peer_exchange::register_and_count_instances()
@@ -200,7 +201,10 @@
     links_.close_unauthenticated(now());
     if (auto const routes = context_.tables.routes.current())
         context_.tables.quotas.apply_limits(routes->organisations(), now());
-    if (holder.id == context_.settings.id)
+    bool const is_own = holder.id == context_.settings.id;
+    if (is_own || holder.id.empty())
+        record_verdict_changes(context_, context_.tables.segment_quarantine.decide(now()));
+    if (is_own)
         return tick_as_holder();
     if (!holder.id.empty())
         tick_as_follower(holder);
@@ -268,7 +272,7 @@
     links_.send(holder, make_report(content));
 }
 
-void peer_exchange::report_if_quotas_run_low()
+void peer_exchange::report_if_urgent()
 {
     state::instance holder;
     {
@@ -276,7 +280,9 @@
         holder = holder_;
     }
     bool const follows_other = !holder.id.empty() && holder.id != context_.settings.id;
-    if (follows_other && context_.tables.quotas.report_is_urgent())
+    bool const is_urgent = context_.tables.quotas.report_is_urgent() ||
+                           context_.tables.segment_quarantine.report_is_urgent();
+    if (follows_other && is_urgent)
         links_.send(holder, make_report(report_content::quotas_only));
 }
 
@@ -304,6 +310,8 @@
     report.digest = context_.tables.directory_log.digest();
     report.isolated = context_.tables.quotas.is_isolated(now());
     report.uses = context_.tables.quotas.begin_report(report.sequence, now());
+    report.segments = context_.tables.segment_quarantine.begin_report(
+        report.sequence, content == report_content::all_usage, now());
     if (content == report_content::quotas_only)
         return report;
     auto& details = report.details.emplace();
@@ -330,6 +338,8 @@
         return;
     state::instance_incarnation const writer{report.id, report.incarnation};
     context_.tables.quotas.charge(writer, report.uses, now());
+    record_verdict_changes(
+        context_, context_.tables.segment_quarantine.merge(report.segments, now()));
     if (report.details)
         context_.tables.usage.merge(writer, report.details->usage);
     if (context_.tables.instance_reports.apply(report, now()))
@@ -345,6 +355,8 @@
     response.sequence = report.sequence;
     response.levels = context_.tables.quotas.issue_levels(now());
     response.wall_offset = context_.clock.agreed_offset();
+    response.segments =
+        context_.tables.segment_quarantine.response_to(report.segments.digest, now());
     add_directory(response, report);
     if (context_.tables.routes.current())
         response.operator_rows = {
@@ -436,8 +448,11 @@
     bool const low = context_.tables.quotas.report_is_urgent();
     apply_shares(
         response.live_instance_count, response.instance_count,
-        low ? low_quota_report_period + 2 * delivery_margin : response_validity());
+        low ? urgent_report_period + 2 * delivery_margin : response_validity());
     context_.tables.quotas.apply_levels(response.levels, response.sequence, now());
+    record_verdict_changes(
+        context_,
+        context_.tables.segment_quarantine.apply(response.segments, response.sequence, now()));
 }
 
 } // namespace auburnweir::transport
--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -67,7 +67,7 @@
 
     net::awaitable<void> register_and_count_instances();
     void tick();
-    void report_if_quotas_run_low();
+    void report_if_urgent();
     void apply_shares(
         std::uint64_t live_count, std::uint64_t instance_count, state::duration validity);
     state::duration response_validity() const;
--- /dev/null
+++ b/tests/integration/gateway_crash_test.cpp
@@ -0,0 +1,80 @@
+#include "coordination/segment_quarantine.hpp"
+#include "support/deployment.hpp"
+#include "support/gateway_deployment.hpp"
+
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace auburnweir::tests
+{
+namespace
+{
+
+/// Two gateways before backend servers that crash under requests with the prompt segment `deadly`.
+class gateway_crash_test : public testing::Test
+{
+protected:
+    static constexpr int backends = 8;
+
+    static gateway_deployment_plan plan()
+    {
+        gateway_deployment_plan result;
+        result.gateways = 2;
+        result.backends = backends;
+        return result;
+    }
+
+    void SetUp() override
+    {
+        for (int i = 0; i < backends; ++i)
+            gateway_deployment::control(system.backend(i), {{"crash_segment", "deadly"}});
+    }
+
+    received_response send_prompt(std::string const& id, std::string const& segment, int gateway)
+    {
+        return system.send_request(
+            "/flow/stream/x", id,
+            {{"Auburnweir-Prompt-Prefix", "venue:100," + segment + ":50,own-" + id + ":20"}},
+            gateway);
+    }
+
+    int crashed_backends()
+    {
+        int count = 0;
+        for (int i = 0; i < backends; ++i)
+            if (system.backend(i).pid() <= 0 || system.backend(i).wait_for_exit(0))
+                ++count;
+        return count;
+    }
+
+    gateway_deployment system{plan()};
+};
+
+// Guards against BUDGET: requests that share a segment crash one server after the other.
+TEST_F(gateway_crash_test, requests_with_segment_that_crashed_servers_are_refused_at_all_gateways)
+{
+    for (int i = 0; i < 3; ++i)
+    {
+        auto const number = std::to_string(i);
+        EXPECT_NE(send_prompt("d" + number, "deadly", i % 2).status, 200);
+        EXPECT_EQ(send_prompt("s" + number, "layout", i % 2).status, 200);
+        std::this_thread::sleep_for(coordination::quarantine_settings{}.crash_grouping_time);
+    }
+    auto const is_quarantined = [&](int gateway)
+    { return system.counter(gateway, "auburnweir_quarantined_segments") == 1; };
+    EXPECT_TRUE(eventually([&] { return is_quarantined(0) && is_quarantined(1); }));
+    auto const crashed = crashed_backends();
+    EXPECT_EQ(crashed, 3);
+    for (int i = 0; i < 6; ++i)
+    {
+        auto const number = std::to_string(i);
+        auto const refused = send_prompt("r" + number, "deadly", i % 2);
+        EXPECT_EQ(refused.status, 503);
+        EXPECT_EQ(refused.run_outcome(), "not_run");
+        EXPECT_EQ(send_prompt("t" + number, "layout", i % 2).status, 200);
+    }
+    EXPECT_EQ(crashed_backends(), crashed);
+}
+
+} // namespace
+} // namespace auburnweir::tests
--- a/tests/property/parser_property_test.cpp
+++ b/tests/property/parser_property_test.cpp
@@ -47,6 +47,39 @@
     return *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
 }
 
+state::instance_report arbitrary_report()
+{
+    state::instance_report report;
+    report.id = state::instance_id{"i"};
+    if (*rc::gen::arbitrary<bool>())
+        report.details.emplace();
+    auto& segments = report.segments;
+    auto const count = *rc::gen::inRange(0, 5);
+    for (int i = 0; i < count; ++i)
+    {
+        state::segment_hash const segment{*rc::gen::arbitrary<std::uint64_t>()};
+        segments.crashes.push_back({segment, state::server_process_hash{7}, state::duration{i}});
+        segments.survivals.push_back({segment, state::duration{i}});
+        segments.verdicts.push_back({segment, 3, i % 2 == 0, state::duration{i}});
+    }
+    segments.digest = state::verdicts_digest{*rc::gen::arbitrary<std::uint64_t>()};
+    return report;
+}
+
+state::report_response arbitrary_report_response()
+{
+    state::report_response response;
+    if (*rc::gen::arbitrary<bool>())
+        response.wall_offset = std::chrono::milliseconds{-5};
+    auto& segments = response.segments;
+    segments.suspects.assign(
+        *rc::gen::inRange<std::size_t>(0, 5),
+        state::segment_hash{*rc::gen::arbitrary<std::uint64_t>()});
+    segments.digest = state::verdicts_digest{*rc::gen::arbitrary<std::uint64_t>()};
+    segments.verdicts.push_back({state::segment_hash{9}, 1, true, state::duration{4}});
+    return response;
+}
+
 peer_message arbitrary_peer_message()
 {
     journal_key const key{state::organisation_id{"o"}, state::request_id{"r"}};
@@ -55,8 +88,12 @@
         *rc::gen::container<std::vector<std::string>>(rc::gen::string<std::string>()),
         state::finish_reason::stop};
     correlation_id const call_id{*rc::gen::arbitrary<std::uint32_t>()};
-    switch (*rc::gen::inRange(0, 6))
+    switch (*rc::gen::inRange(0, 8))
     {
+    case 6:
+        return arbitrary_report();
+    case 7:
+        return arbitrary_report_response();
     case 0:
         return journal_batch{{{key, chunk}, {key, chunk}}, call_id};
     case 1:
@@ -82,6 +119,16 @@
     RC_ASSERT(encode_frame(decoded.value()) == frame);
 }
 
+RC_GTEST_PROP(parser_property, report_and_its_response_survive_a_round_trip, ())
+{
+    auto const report = arbitrary_report();
+    auto const response = arbitrary_report_response();
+    auto const decoded = decode_frame(encode_frame({report, response}));
+    RC_ASSERT(decoded.has_value());
+    RC_ASSERT(std::get<state::instance_report>(decoded.value().at(0)) == report);
+    RC_ASSERT(std::get<state::report_response>(decoded.value().at(1)) == response);
+}
+
 RC_GTEST_PROP(parser_property, mutated_peer_frame_is_decoded_or_rejected, ())
 {
     auto const decoded = decode_frame(mutated(encode_frame({arbitrary_peer_message()})));
--- /dev/null
+++ b/tests/unit/segment_quarantine_test.cpp
@@ -0,0 +1,334 @@
+#include "coordination/segment_quarantine.hpp"
+
+#include <gtest/gtest.h>
+#include <random>
+
+namespace auburnweir::coordination
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Instances with one holder of the duties that exchange reports in each period, without a network.
+class segment_quarantine_test : public testing::Test
+{
+protected:
+    static constexpr int instances = 9;
+    static constexpr auto period = 300ms;
+
+    static state::forwarded_request prompt(std::vector<std::string> const& segments)
+    {
+        state::forwarded_request request;
+        for (auto const& id : segments)
+            request.segments.push_back({id, state::token_count{100}});
+        return request;
+    }
+
+    static state::server_process_hash server(int number)
+    {
+        return hash_of_process(
+            state::backend_id{"engine-" + std::to_string(number)}, state::incarnation_number{1});
+    }
+
+    segment_quarantine& at(int instance) { return *tables.at(instance); }
+    segment_quarantine& holder() { return at(0); }
+
+    /// A server process ends while this instance has these requests at it.
+    void crash(int instance, int number, std::vector<state::forwarded_request> const& requests)
+    {
+        for (auto const& request : requests)
+            at(instance).record_loss(server(number), shared_segment_hashes(request), now);
+        at(instance).confirm_crash(server(number), now);
+    }
+
+    /// Servers end one after the other under requests of the instances `first` to `last`.
+    void crash_in_turn(int first, int last, state::forwarded_request const& request)
+    {
+        for (int i = first; i <= last; ++i)
+        {
+            crash(i, i, {request});
+            now += quarantine_settings{}.crash_grouping_time;
+        }
+    }
+
+    void answer(int instance, state::forwarded_request const& request)
+    {
+        at(instance).record_answer(shared_segment_hashes(request), now);
+    }
+
+    void exchange(int instance, bool is_new_holder = false)
+    {
+        ++sequence;
+        auto const report = at(instance).begin_report(sequence, is_new_holder, now);
+        holder().merge(report, now);
+        at(instance).apply(holder().response_to(report.digest, now), sequence, now);
+    }
+
+    void pass(state::duration time)
+    {
+        for (auto const until = now + time; now < until;)
+        {
+            now += period;
+            for (int i = 1; i < instances; ++i)
+                exchange(i);
+            holder().decide(now);
+        }
+    }
+
+    bool refuses(int instance, state::forwarded_request const& request)
+    {
+        return at(instance).find(request, now).has_value();
+    }
+
+    static std::vector<std::unique_ptr<segment_quarantine>> make_tables()
+    {
+        std::vector<std::unique_ptr<segment_quarantine>> result;
+        for (int i = 0; i < instances; ++i)
+            result.push_back(std::make_unique<segment_quarantine>());
+        return result;
+    }
+
+    std::vector<std::unique_ptr<segment_quarantine>> tables = make_tables();
+    state::time_point now{1h};
+    std::uint64_t sequence = 0;
+
+    state::forwarded_request const deadly = prompt({"venue", "deadly", "own-1"});
+    state::forwarded_request const sound = prompt({"venue", "layout", "own-2"});
+};
+
+// Guards against BUDGET: requests with one segment crashing server after server.
+TEST_F(segment_quarantine_test, segment_of_crashes_at_three_instances_is_refused_by_all)
+{
+    for (int i = 1; i <= 3; ++i)
+    {
+        crash(i, i, {deadly});
+        pass(600ms);
+    }
+    pass(1500ms);
+    for (int i = 0; i < instances; ++i)
+    {
+        EXPECT_TRUE(refuses(i, deadly)) << i;
+        EXPECT_EQ(holder().quarantined_count(now), 2U) << "both segments explain the crashes";
+    }
+}
+
+// Guards against LOST: bystanders of the crashes share segments with the requests that cause them.
+TEST_F(segment_quarantine_test, segments_of_bystanders_that_are_answered_stay_accepted)
+{
+    for (int i = 1; i <= 5; ++i)
+    {
+        crash(i, i, {deadly, sound, prompt({"venue", "session-" + std::to_string(i), "own"})});
+        pass(300ms);
+        answer(i % 3 + 1, sound);
+        pass(300ms);
+    }
+    pass(1500ms);
+    for (int i = 0; i < instances; ++i)
+    {
+        EXPECT_TRUE(refuses(i, deadly)) << i;
+        EXPECT_FALSE(refuses(i, sound)) << i;
+        EXPECT_FALSE(refuses(i, prompt({"venue", "session-1", "own-3"}))) << i;
+        EXPECT_FALSE(refuses(i, prompt({"venue", "new", "own-4"}))) << i;
+    }
+}
+
+// Guards against LOST: a rack that loses its servers at once makes every common segment a suspect.
+TEST_F(segment_quarantine_test, crash_of_all_servers_at_once_leaves_their_segments_accepted)
+{
+    answer(1, sound);
+    pass(300ms);
+    for (int i = 1; i < instances; ++i)
+    {
+        crash(i, 2 * i, {sound, deadly});
+        now += 20ms;
+        crash(i, 2 * i + 1, {sound, prompt({"venue", "new", "own"})});
+    }
+    pass(5s);
+    for (int i = 0; i < instances; ++i)
+    {
+        EXPECT_FALSE(refuses(i, sound)) << i;
+        EXPECT_FALSE(refuses(i, prompt({"venue", "new", "own"}))) << i;
+    }
+}
+
+TEST_F(segment_quarantine_test, segment_in_last_place_is_not_recorded)
+{
+    crash_in_turn(1, 5, prompt({"own"}));
+    pass(3s);
+    EXPECT_FALSE(refuses(1, prompt({"own", "other"})));
+}
+
+TEST_F(segment_quarantine_test, losses_at_servers_that_still_answer_are_no_evidence)
+{
+    for (int i = 1; i <= 5; ++i)
+    {
+        at(i).record_loss(server(i), shared_segment_hashes(deadly), now);
+        at(i).dismiss_losses(server(i));
+        EXPECT_FALSE(at(i).confirm_crash(server(i), now));
+    }
+    pass(3s);
+    EXPECT_FALSE(refuses(0, deadly));
+}
+
+TEST_F(segment_quarantine_test, crash_seen_by_many_instances_counts_once)
+{
+    for (int i = 0; i < instances; ++i)
+        crash(i, 7, {deadly});
+    pass(3s);
+    EXPECT_FALSE(refuses(0, deadly));
+}
+
+TEST_F(segment_quarantine_test, segment_that_was_answered_before_needs_five_crashes)
+{
+    auto const changed = prompt({"changed", "own"});
+    answer(1, changed);
+    pass(300ms);
+    for (int i = 2; i <= 5; ++i)
+    {
+        crash(i, i, {changed});
+        // The instance that relayed the answer names it when the segment becomes suspect.
+        pass(600ms);
+    }
+    pass(1500ms);
+    EXPECT_FALSE(refuses(3, changed));
+    crash(6, 6, {changed});
+    pass(1500ms);
+    EXPECT_TRUE(refuses(3, changed));
+}
+
+TEST_F(segment_quarantine_test, answer_after_the_verdict_releases_the_segment_everywhere)
+{
+    crash_in_turn(1, 3, prompt({"wronged", "own"}));
+    pass(2400ms);
+    ASSERT_TRUE(refuses(5, prompt({"wronged", "own"})));
+    answer(4, prompt({"wronged", "own"}));
+    pass(900ms);
+    for (int i = 0; i < instances; ++i)
+        EXPECT_FALSE(refuses(i, prompt({"wronged", "own"}))) << i;
+}
+
+TEST_F(segment_quarantine_test, restarted_holder_learns_the_verdicts_from_reports)
+{
+    crash_in_turn(1, 3, deadly);
+    pass(2400ms);
+    ASSERT_TRUE(refuses(0, deadly));
+    tables[0] = std::make_unique<segment_quarantine>();
+    ASSERT_FALSE(refuses(0, deadly));
+    pass(600ms);
+    EXPECT_TRUE(refuses(0, deadly));
+}
+
+TEST_F(segment_quarantine_test, evidence_for_a_lost_holder_is_reported_to_the_next)
+{
+    crash_in_turn(1, 2, deadly);
+    pass(600ms);
+    tables[0] = std::make_unique<segment_quarantine>();
+    for (int i = 1; i < instances; ++i)
+        exchange(i, true);
+    crash(3, 3, {deadly});
+    pass(2400ms);
+    EXPECT_TRUE(refuses(8, deadly));
+}
+
+TEST_F(segment_quarantine_test, quarantine_ends_and_one_crash_renews_it)
+{
+    crash_in_turn(1, 3, deadly);
+    pass(2400ms);
+    auto const found = at(2).find(deadly, now);
+    ASSERT_TRUE(found);
+    EXPECT_LE(found->remaining, quarantine_settings{}.quarantine);
+    now += quarantine_settings{}.quarantine;
+    EXPECT_FALSE(refuses(2, deadly));
+    crash(4, 4, {deadly});
+    pass(2400ms);
+    EXPECT_TRUE(refuses(2, deadly));
+}
+
+TEST_F(segment_quarantine_test, repeated_and_late_verdicts_change_nothing)
+{
+    crash_in_turn(1, 3, prompt({"wronged", "own"}));
+    pass(2400ms);
+    auto const earlier = holder().response_to(state::verdicts_digest{0}, now);
+    answer(4, prompt({"wronged", "own"}));
+    pass(900ms);
+    EXPECT_TRUE(at(1).apply(earlier, sequence, now).empty());
+    EXPECT_FALSE(refuses(1, prompt({"wronged", "own"})));
+}
+
+TEST_F(segment_quarantine_test, tables_stay_bounded_under_any_number_of_segments)
+{
+    std::mt19937_64 random{11};
+    for (int i = 0; i < 20000; ++i)
+    {
+        auto const request = prompt({std::to_string(random()), std::to_string(random()), "own"});
+        if (i % 3 == 0)
+            crash(1, i, {request});
+        else
+            answer(1, request);
+        now += 1ms;
+    }
+    auto const report = at(1).begin_report(++sequence, true, now);
+    EXPECT_LE(report.crashes.size(), 64U);
+    EXPECT_LE(report.survivals.size(), 64U);
+}
+
+/// A deployment under the load of the pattern: one request in twenty has the deadly
+/// segment and reaches a random instance and server. Two sound ones that have not begun are lost
+/// with it; the other sound ones are answered.
+class segment_quarantine_load_test : public segment_quarantine_test,
+                                     public testing::WithParamInterface<int>
+{
+};
+
+TEST_P(segment_quarantine_load_test, few_deadly_requests_are_sent_after_the_fifth_crash)
+{
+    constexpr auto in_touch_after = 4000ms;
+    constexpr int bystanders_at_a_crash = 2;
+    std::mt19937_64 random{static_cast<std::uint64_t>(GetParam())};
+    int crashes = 0;
+    int sent_late = 0;
+    int sound_refused = 0;
+    std::optional<state::time_point> fifth_crash;
+    for (auto const end = now + 40s; now < end;)
+    {
+        for (int step = 0; step < 3; ++step)
+        {
+            auto const instance = static_cast<int>(random() % instances);
+            auto const session = "session-" + std::to_string(random() % 40);
+            bool const is_deadly = random() % 20 == 0;
+            auto const request = is_deadly ? prompt({"venue", "tool", "deadly", "own"})
+                                           : prompt({"venue", session, "own"});
+            if (refuses(instance, request))
+            {
+                sound_refused += is_deadly ? 0 : 1;
+                continue;
+            }
+            if (!is_deadly)
+            {
+                answer(instance, request);
+                continue;
+            }
+            if (fifth_crash && now > *fifth_crash + in_touch_after)
+                ++sent_late;
+            auto const number = crashes + 100;
+            crash(instance, number, {request});
+            for (int bystander = 0; bystander < bystanders_at_a_crash; ++bystander)
+                crash(
+                    static_cast<int>(random() % instances), number,
+                    {prompt({"venue", session, "own"})});
+            if (++crashes == 5)
+                fifth_crash = now;
+        }
+        pass(period);
+    }
+    EXPECT_LE(sent_late, 3);
+    EXPECT_EQ(sound_refused, 0);
+    EXPECT_LE(crashes, 8);
+    EXPECT_TRUE(refuses(1, prompt({"deadly", "own"})));
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, segment_quarantine_load_test, testing::Range(1, 21));
+
+} // namespace
+} // namespace auburnweir::coordination
--- a/tools/standins/routed_backend.cpp
+++ b/tools/standins/routed_backend.cpp
@@ -15,6 +15,8 @@
 using namespace auburnweir;
 using namespace auburnweir::standins;
 
+constexpr int crash_exit_code = 3;
+
 /// Bytes that are sent until the caller closes the connection.
 struct endless_bytes
 {
@@ -83,6 +85,9 @@
         }
         runs_[attempt] = runs_.value(attempt, 0) + 1;
         record_request(request);
+        auto const prompt = request.header("Auburnweir-Prompt-Prefix");
+        if (!crash_segment_.empty() && prompt.find(crash_segment_) != std::string::npos)
+            std::_Exit(crash_exit_code);
         if (delay_ms_ > 0)
             co_await transport::sleep_for(io_, std::chrono::milliseconds{delay_ms_});
         if (cut_)
@@ -161,6 +166,7 @@
             co_await send_status(connection, 400);
             co_return;
         }
+        crash_segment_ = protocol::text_at(*body, "crash_segment", crash_segment_);
         status_ = static_cast<int>(protocol::integer_at(*body, "status", status_));
         delay_ms_ = protocol::integer_at(*body, "delay_ms", delay_ms_);
         event_ms_ = protocol::integer_at(*body, "event_ms", event_ms_);
@@ -182,6 +188,7 @@
     std::string id_;
     json runs_ = json::object();
     json last_request_;
+    std::string crash_segment_; ///< a request with it ends the process; empty: none does
     int status_ = 200;
     std::int64_t delay_ms_ = 0;
     std::int64_t event_ms_ = 5;
