Treat a stream without a length that ends inside an event as broken off

Cause: where an answer has neither a length nor chunks, the end of the connection is the end of the body, and the relay passed on what was left of an event and ended its own answer properly. Class: loss taken for an end. Change: such a stream is broken off when it ends inside an event, or before its first one; it resumes elsewhere or stays incomplete. Framed streams are as before. Same cause elsewhere: the entry program's chat streams end by their own finish event; buffered bodies were told from a reset one already.

--- a/src/transport/event_splitter.hpp
+++ b/src/transport/event_splitter.hpp
@@ -46,6 +46,9 @@
         return std::exchange(buffer_, {});
     }
 
+    /// Whether bytes of an event have come that is not complete.
+    bool is_inside_event() const { return buffer_.size() > complete_; }
+
     /// Id of the last complete event; empty before the first.
     std::string const& last_id() const { return last_id_; }
 
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -165,6 +165,11 @@
     return state_->parser.get().base();
 }
 
+bool http_stream::ends_with_connection() const
+{
+    return state_->parser.need_eof();
+}
+
 std::size_t http_stream::state::parse_received(error_code& error)
 {
     auto& body = parser.get().body();
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -129,6 +129,10 @@
     int status() const;
     http_fields const& headers() const;
 
+    /// Whether the body has neither a length nor chunks, so that it ends with the connection. A
+    /// server that ends and a complete body then look alike.
+    bool ends_with_connection() const;
+
     /// Reads the next bytes; empty at the end. They are valid until the next call.
     net::awaitable<http_result<std::string_view>> read(auburnweir::state::duration timeout);
 
--- a/src/transport/response_relay.cpp
+++ b/src/transport/response_relay.cpp
@@ -142,6 +142,9 @@
             silent_since = now();
             first_event_at_ = first_event_at_.value_or(silent_since);
         }
+        bool const broken_off = events.is_inside_event() || !first_event_at_;
+        if (ended && response.ends_with_connection() && broken_off)
+            co_return relay_result::interrupted;
         if (ended)
             ready += events.take_remainder();
         if (!events.last_id().empty())
--- a/tests/integration/gateway_trouble_test.cpp
+++ b/tests/integration/gateway_trouble_test.cpp
@@ -122,6 +122,48 @@
         system.counter(0, "auburnweir_refusals_total{reason=\"response_memory_exhausted\"}"), 0);
 }
 
+TEST_F(gateway_trouble_test, stream_without_length_that_ends_after_event_is_complete)
+{
+    for (int i = 0; i < 2; ++i)
+        gateway_deployment::control(system.backend(i), {{"unframed", true}});
+    auto const response = system.send_request("/stream/x", "u1");
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(response.body, ten_events());
+}
+
+// Guards against ORDER: a stream that ends with its connection inside an event looks complete.
+TEST_F(gateway_trouble_test, stream_without_length_that_ends_inside_event_resumes_elsewhere)
+{
+    gateway_deployment::control(system.backend(0), {{"unframed", true}, {"cut_after", 4}});
+    for (auto const& response : send_together("/stream/x", "i", 4))
+    {
+        EXPECT_EQ(response.status, 200);
+        EXPECT_EQ(response.body, ten_events());
+    }
+}
+
+// Guards against ORDER: as above, where no other backend may go on.
+TEST_F(gateway_trouble_test, stream_without_length_that_ends_inside_event_stays_incomplete)
+{
+    for (int i = 0; i < 2; ++i)
+        gateway_deployment::control(system.backend(i), {{"unframed", true}, {"cut_after", 4}});
+    streamed_answer answer(
+        system.port(), "POST", "/flow/stream/x",
+        {{"Host", "calls.test"}, {"Auburnweir-Attempt-Id", "f1"}}, "order");
+    answer.read_to_end();
+    EXPECT_FALSE(answer.finished());
+    EXPECT_EQ(system.run_count("f1"), 1);
+}
+
+TEST_F(gateway_trouble_test, stream_without_length_that_ends_before_first_event_is_no_answer)
+{
+    for (int i = 0; i < 2; ++i)
+        gateway_deployment::control(system.backend(i), {{"unframed", true}, {"events", 0}});
+    auto const response = system.send_request("/flow/stream/x", "n1");
+    EXPECT_EQ(response.status, 502);
+    EXPECT_EQ(response.run_outcome(), "outcome_unknown");
+}
+
 TEST_F(gateway_trouble_test, other_backends_answer_while_one_sends_without_end)
 {
     send_without_end(0, std::string(4096, 'x'));
--- a/tools/standins/routed_backend.cpp
+++ b/tools/standins/routed_backend.cpp
@@ -103,7 +103,10 @@
         }
         if (request.target.find("/stream/") != std::string::npos && status_ == 200)
         {
-            co_await stream_events(request, connection);
+            if (unframed_)
+                co_await stream_until_close(request, connection);
+            else
+                co_await stream_events(request, connection);
             co_return;
         }
         auto response = make_response(request, status_);
@@ -124,6 +127,31 @@
         connection.reset();
     }
 
+    /// Sends a stream with neither a length nor chunks; its end is that of the connection.
+    net::awaitable<void> stream_until_close(
+        standin_request const& request, standin_connection& connection)
+    {
+        std::string text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                           "Connection: close\r\n";
+        for (auto const& [name, value] : make_response(request, 200).headers)
+            text.append(name).append(": ").append(value).append("\r\n");
+        text += "\r\n";
+        auto const after = request.header("Last-Event-Id");
+        for (auto event = after.empty() ? 1 : std::stoll(after) + 1; event <= events_; ++event)
+        {
+            auto const number = std::to_string(event);
+            text += "id: " + number + "\nda";
+            if (cut_after_ > 0 && event > cut_after_)
+                break;
+            text += "ta: token-" + number + "\n\n";
+        }
+        boost::system::error_code ignored;
+        co_await net::async_write(
+            connection.stream.socket(), net::buffer(text),
+            net::redirect_error(net::use_awaitable, ignored));
+        connection.stream.socket().close(ignored);
+    }
+
     net::awaitable<void> stream_events(
         standin_request const& request, standin_connection& connection)
     {
@@ -174,6 +202,7 @@
         cut_after_ = protocol::integer_at(*body, "cut_after", cut_after_);
         not_run_ = protocol::flag_at(*body, "not_run", not_run_);
         cut_ = protocol::flag_at(*body, "cut", cut_);
+        unframed_ = protocol::flag_at(*body, "unframed", unframed_);
         if (body->contains("endless"))
         {
             endless_bytes const bytes{
@@ -196,6 +225,7 @@
     std::int64_t cut_after_ = 0;
     bool not_run_ = false;
     bool cut_ = false;
+    bool unframed_ = false;
     std::optional<endless_bytes> endless_;
 };
 
