Use no connection again after a response that names no request

Cause: a refusal need not name its request, so a copy of it on a connection in use again was taken as proof about the next one. Class: answer matched by position. Change: an unnamed refusal still counts for its request, but its connection is closed, so that no copy can meet another request.

--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -267,12 +267,14 @@
     policy.cancel = cancel_;
     if (route_->retry == state::retry_rule::at_most_once)
         policy.max_idle_time = max_idle_for_at_most_once;
-    policy.is_response_to_call = [this](int status, http_fields const& fields)
+    policy.owner_of = [this](int status, http_fields const& fields)
     {
         auto const response = context_.ports.dialect.decode_response(status, fields);
+        if (response.request == forwarded_.id.str())
+            return response_owner::this_call;
         // A refusal need not name the request: the server did not accept it.
-        bool const refusal = response.request.empty() && response.not_run;
-        return refusal || response.request == forwarded_.id.str();
+        bool const is_refusal = response.request.empty() && response.not_run;
+        return is_refusal ? response_owner::unnamed : response_owner::earlier_call;
     };
 
     relay_->begin_attempt();
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -120,6 +120,7 @@
     std::shared_ptr<call_cancellation> cancel;
     http::response_parser<http::buffer_body> parser;
     std::array<char, read_buffer_bytes> bytes{};
+    bool may_reuse_connection = true;
 
     /// Parses the received data and stores body bytes in `bytes`. @return their number
     std::size_t parse_received(error_code& error);
@@ -133,8 +134,9 @@
     {
         if (cancel)
             cancel->set_handler(nullptr);
-        bool const reusable = connection && parser.is_done() && parser.keep_alive() &&
-                              !connection->write_pending && connection->buffer.size() == 0;
+        bool const reusable = connection && may_reuse_connection && parser.is_done() &&
+                              parser.keep_alive() && !connection->write_pending &&
+                              connection->buffer.size() == 0;
         if (reusable)
         {
             connection->max_idle_time = max_idle_time_from(parser.get().base());
@@ -350,7 +352,7 @@
         });
 }
 
-net::awaitable<http_result<bool>> http_client::read_header(
+net::awaitable<http_result<response_owner>> http_client::read_header(
     http_stream::state& s, call_policy const& policy, state::time_point deadline)
 {
     auto& c = *s.connection;
@@ -361,10 +363,12 @@
     if (error)
         co_return error_for(timed_out);
     if (s.parser.get().result_int() < first_final_status)
-        co_return false;
-    if (!policy.is_response_to_call ||
-        policy.is_response_to_call(s.parser.get().result_int(), s.parser.get().base()))
-        co_return true;
+        co_return response_owner::earlier_call;
+    auto owner = response_owner::this_call;
+    if (policy.owner_of)
+        owner = policy.owner_of(s.parser.get().result_int(), s.parser.get().base());
+    if (owner != response_owner::earlier_call)
+        co_return owner;
     ++late_responses_;
     s.parser.eager(true);
     while (!s.parser.is_done())
@@ -381,7 +385,7 @@
         if (error)
             co_return error_for(error == beast::error::timeout);
     }
-    co_return false;
+    co_return response_owner::earlier_call;
 }
 
 net::awaitable<http_result<http_stream>> http_client::open(
@@ -441,14 +445,15 @@
         s->parser.skip(response_has_no_body);
         if (now() >= deadline)
             co_return http_error::timed_out;
-        auto const matched = co_await read_header(*s, policy, deadline);
-        if (!matched)
-            co_return matched.error();
-        if (!matched.value())
+        auto const owner = co_await read_header(*s, policy, deadline);
+        if (!owner)
+            co_return owner.error();
+        if (owner.value() == response_owner::earlier_call)
         {
             s->connection.reset();
             continue;
         }
+        s->may_reuse_connection = owner.value() == response_owner::this_call;
         s->parser.eager(true);
         s->cancel = policy.cancel;
         co_return http_stream{std::move(s)};
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -87,6 +87,16 @@
     bool cancelled_ = false;
 };
 
+/// Which call a response belongs to.
+enum class response_owner : std::uint8_t
+{
+    this_call,
+    /// The response names no call and is taken for this one's. Its connection is not used again, as
+    /// a copy of it would be taken for the response to the next call.
+    unnamed,
+    earlier_call
+};
+
 /// Timeouts, connection use and cancellation of a call.
 struct call_policy
 {
@@ -98,8 +108,8 @@
     /// A connection that has been idle for longer is not used.
     auburnweir::state::duration max_idle_time = std::chrono::hours{1};
 
-    /// Returns false for a late response to an earlier call, which is then dropped.
-    std::function<bool(int status, http_fields const&)> is_response_to_call;
+    /// Tells late responses to earlier calls, which are dropped; empty: there are none.
+    std::function<response_owner(int status, http_fields const&)> owner_of;
 
     std::shared_ptr<call_cancellation> cancel;
 };
@@ -194,9 +204,8 @@
     void start_write(connection_ptr c, http::request<http::string_body> request);
 
     /// Reads a response header.
-    /// @return false after an interim response, or a late response to an earlier call, which was
-    ///         read and dropped
-    net::awaitable<http_result<bool>> read_header(
+    /// @return `earlier_call` also after an interim response; both were read and dropped
+    net::awaitable<http_result<response_owner>> read_header(
         http_stream::state& s, call_policy const& policy, auburnweir::state::time_point deadline);
 
     net::io_context& io_;
--- a/tests/integration/gateway_trouble_test.cpp
+++ b/tests/integration/gateway_trouble_test.cpp
@@ -167,6 +167,24 @@
     EXPECT_EQ(response.run_outcome(), "outcome_unknown");
 }
 
+// Guards against REFUSED and TWICE: a refusal that is sent once more, to the next request.
+TEST_F(gateway_trouble_test, request_after_repeated_refusal_runs_once_and_is_answered)
+{
+    for (int i = 0; i < 2; ++i)
+        gateway_deployment::control(
+            system.backend(i), {{"not_run", true}, {"repeat_refusals", true}});
+    for (auto const& refused : send_together("/once/x", "p", 4))
+        EXPECT_EQ(refused.status, 503);
+    for (int i = 0; i < 2; ++i)
+        gateway_deployment::control(system.backend(i), {{"not_run", false}});
+    for (int i = 0; i < 8; ++i)
+    {
+        auto const id = "q" + std::to_string(i);
+        EXPECT_EQ(system.send_request("/once/x", id).status, 200) << id;
+        EXPECT_EQ(system.run_count(id), 1) << id;
+    }
+}
+
 // Guards against ORDER and MIXED: an error's head and text within a stream that has begun.
 TEST_F(gateway_trouble_test, stream_whose_resumption_gets_no_stream_stays_incomplete)
 {
--- a/tests/integration/http_client_test.cpp
+++ b/tests/integration/http_client_test.cpp
@@ -56,8 +56,11 @@
     static call_policy accept_id(std::string id)
     {
         call_policy policy;
-        policy.is_response_to_call = [id](int, transport::http_fields const& f)
-        { return f["Id"] == id; };
+        policy.owner_of = [id](int, transport::http_fields const& f)
+        {
+            return f["Id"] == id ? transport::response_owner::this_call
+                                 : transport::response_owner::earlier_call;
+        };
         return policy;
     }
 
@@ -141,6 +144,25 @@
     EXPECT_EQ(server.connections(), 2);
 }
 
+TEST_F(http_client_test, connection_of_unnamed_response_is_not_reused)
+{
+    scripted_server server(
+        [](tcp::socket& s)
+        {
+            scripted_server::read_request_header(s);
+            scripted_server::send(s, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+            if (scripted_server::read_request_header(s).empty())
+                return;
+            scripted_server::send(s, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        });
+    call_policy policy;
+    policy.owner_of = [](int, transport::http_fields const&)
+    { return transport::response_owner::unnamed; };
+    EXPECT_EQ(call(server, policy).status, 503);
+    EXPECT_EQ(call(server, policy).status, 503);
+    EXPECT_EQ(server.connections(), 2);
+}
+
 TEST_F(http_client_test, header_without_end_is_lost)
 {
     scripted_server server([](tcp::socket& s)
--- a/tools/standins/routed_backend.cpp
+++ b/tools/standins/routed_backend.cpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 
 /// Stand-in for a backend server behind the gateway.
 ///
@@ -62,6 +63,12 @@
 
     json runs_body() const { return {{"runs", runs_}, {"last", last_request_}}; }
 
+    static std::uint16_t caller_port(standin_connection const& connection)
+    {
+        boost::system::error_code ignored;
+        return connection.stream.socket().remote_endpoint(ignored).port();
+    }
+
     static transport::caller_response not_executed_response(int status)
     {
         transport::caller_response response;
@@ -74,6 +81,10 @@
     {
         auto const attempt = request.header("Auburnweir-Attempt-Id");
         auto const expected_id = request.header("Auburnweir-Expected-Instance");
+        if (refused_ports_.erase(caller_port(connection)) > 0)
+            co_await connection.writer.send(not_executed_response(503));
+        if (repeat_refusals_ && not_run_)
+            refused_ports_.insert(caller_port(connection));
         if (not_run_ || (!expected_id.empty() && expected_id != id_))
         {
             auto response = not_executed_response(not_run_ ? 503 : 421);
@@ -211,6 +222,7 @@
         cut_after_ = protocol::integer_at(*body, "cut_after", cut_after_);
         not_run_ = protocol::flag_at(*body, "not_run", not_run_);
         cut_ = protocol::flag_at(*body, "cut", cut_);
+        repeat_refusals_ = protocol::flag_at(*body, "repeat_refusals", repeat_refusals_);
         unframed_ = protocol::flag_at(*body, "unframed", unframed_);
         if (body->contains("endless"))
         {
@@ -236,6 +248,8 @@
     bool not_run_ = false;
     bool cut_ = false;
     bool unframed_ = false;
+    bool repeat_refusals_ = false;
+    std::set<std::uint16_t> refused_ports_; ///< of callers that get the refusal once more
     std::optional<endless_bytes> endless_;
 };
 
