Log the limits that backend servers name

Cause: the logs could not show when a gateway was told of a server's limit. Change: the answer's limit is decoded (the lowest of several values; others are counted in malformed_statements) and kept with the server; AW2112 and AW2113 log its changes. No decision changed.

--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -86,6 +86,8 @@
         "backend_crashes_seen",
         "segments_quarantined",
         "segments_released",
+        "backend_limits_changed",
+        "malformed_statements",
     };
 
 } // namespace
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -102,6 +102,8 @@
     backend_crashes_seen,
     segments_quarantined,
     segments_released,
+    backend_limits_changed,
+    malformed_statements,
     count_
 };
 
--- a/src/state/server_table.cpp
+++ b/src/state/server_table.cpp
@@ -140,6 +140,25 @@
     ++it->second.view.sent_since_load;
 }
 
+bool server_table::record_limit(
+    backend_id const& id, incarnation_number incarnation, std::optional<request_rate> rate,
+    time_point now)
+{
+    ranked_lock lock(mutex_);
+    auto const it = entries_.find(id);
+    if (it == entries_.end() || it->second.view.listed.incarnation != incarnation)
+        return false;
+    auto& limit = it->second.view.limit;
+    auto const known = limit ? std::optional{limit->rate()} : std::nullopt;
+    if (known == rate)
+        return false;
+    if (!rate)
+        limit.reset();
+    else
+        limit.emplace(*rate, now);
+    return true;
+}
+
 void server_table::record_load(backend_id const& id, server_load report, time_point now)
 {
     ranked_lock lock(mutex_);
--- a/src/state/server_table.hpp
+++ b/src/state/server_table.hpp
@@ -4,6 +4,7 @@
 #include "state/configuration.hpp"
 #include "state/ids.hpp"
 #include "state/lock_rank.hpp"
+#include "state/send_limit.hpp"
 #include "state/time.hpp"
 
 #include <map>
@@ -62,6 +63,7 @@
     time_point refused_at{};                 ///< when the server last refused a request
     double failure_share = 0;                ///< of recent requests, exponentially smoothed
     std::optional<time_point> missing_since; ///< no longer listed since a store outage
+    std::optional<send_limit> limit;         ///< that the server's last answer named
 };
 
 /// Backend servers of the directory, with the results of this instance's requests to them.
@@ -110,6 +112,12 @@
 
     std::optional<server_view> view(backend_id const& id) const;
 
+    /// Records the rate that an answer of this incarnation named; null: none.
+    /// @return whether it differs from the last one
+    bool record_limit(
+        backend_id const& id, incarnation_number incarnation, std::optional<request_rate> rate,
+        time_point now);
+
     void record_sent(backend_id const& id);
     void record_load(backend_id const& id, server_load report, time_point now);
 
--- a/src/transport/attempt_recorder.cpp
+++ b/src/transport/attempt_recorder.cpp
@@ -41,6 +41,28 @@
                                      {"for_ms", std::to_string(eject_for.count())}});
 }
 
+void attempt_recorder::record_statements(
+    state::server_view const& server, backend_headers const& response)
+{
+    auto& tables = context_.tables;
+    auto const& id = server.listed.id;
+    if (response.load)
+        tables.servers.record_load(id, *response.load, now());
+    tables.counters.increment(
+        state::event_counter::malformed_statements,
+        static_cast<std::uint64_t>(response.malformed_statements));
+    bool const names_no_limit = !response.rate_limit && response.malformed_statements > 0;
+    if (names_no_limit ||
+        !tables.servers.record_limit(id, server.listed.incarnation, response.rate_limit, now()))
+        return;
+    tables.counters.increment(state::event_counter::backend_limits_changed);
+    if (response.rate_limit)
+        log(log_event::backend_limited,
+            {{"backend", id.str()}, {"per_second", std::to_string(response.rate_limit->count())}});
+    else
+        log(log_event::backend_limit_lifted, {{"backend", id.str()}});
+}
+
 void attempt_recorder::record_loss(
     state::server_view const& server, state::forwarded_request const& request)
 {
--- a/src/transport/attempt_recorder.hpp
+++ b/src/transport/attempt_recorder.hpp
@@ -21,6 +21,9 @@
     /// Records the end of an attempt for the server's health.
     void record_end(state::server_view const& server, state::server_outcome outcome);
 
+    /// Records what a response says of its server.
+    void record_statements(state::server_view const& server, backend_headers const& response);
+
     /// Records that the server broke off the request before it had answered for
     /// `min_answering_time`.
     void record_loss(state::server_view const& server, state::forwarded_request const& request);
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -316,8 +316,7 @@
 {
     auto const status = response.status();
     auto const backend_values = context_.ports.dialect.decode_response(status, response.headers());
-    if (backend_values.load)
-        context_.tables.servers.record_load(server.listed.id, *backend_values.load, now());
+    recorder_.record_statements(server, backend_values);
     if (backend_values.not_run)
     {
         co_await response.discard_rest();
--- a/src/transport/log.hpp
+++ b/src/transport/log.hpp
@@ -40,6 +40,8 @@
     backend_crashed = 2109,
     segment_quarantined = 2110,
     segment_released = 2111,
+    backend_limited = 2112,
+    backend_limit_lifted = 2113,
     stream_moved = 2201,
     stream_failed = 2202,
     journal_adopted = 2203,
--- a/src/transport/request_dialect.hpp
+++ b/src/transport/request_dialect.hpp
@@ -25,8 +25,9 @@
 {
     std::string request;  ///< id of the request that it answers; empty when not stated
     bool not_run = false; ///< the server states that it has not run the request and will not
-    bool leaving = false; ///< the server asks for the connection to be closed
     std::optional<state::server_load> load;
+    std::optional<state::request_rate> rate_limit; ///< that the server takes from all instances
+    int malformed_statements = 0; ///< values that the server names of itself and can't be used
 };
 
 /// Port: how requests and responses carry the gateway's values in their headers.
