Send nothing more to a server that says in its answers that it leaves

Cause: the header was not read; leaving was known from the directory alone. Change: the statement marks that incarnation as leaving for good. Later listings, answers without it and a removal do not take it back; a new incarnation starts clean. Departures are remembered in a bounded table.

--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -89,6 +89,7 @@
         "segments_released",
         "backend_limits_changed",
         "malformed_statements",
+        "backends_said_leaving",
     };
 
 } // namespace
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -105,6 +105,7 @@
     segments_released,
     backend_limits_changed,
     malformed_statements,
+    backends_said_leaving,
     count_
 };
 
--- a/src/state/server_table.cpp
+++ b/src/state/server_table.cpp
@@ -10,6 +10,9 @@
 namespace
 {
 constexpr double failure_share_weight = 0.1; ///< weight of the latest request
+
+/// Departures that are remembered; the oldest is dropped first.
+constexpr std::size_t max_departures = 4096;
 } // namespace
 
 server_table::change server_table::apply(listed_server const& listed, time_point now)
@@ -26,8 +29,9 @@
     }
     e.view.missing_since.reset();
     e.view.listed = listed;
-    bool const newly_leaving = listed.draining && !e.leaving;
-    e.leaving = e.leaving || listed.draining;
+    bool const leaves = listed.draining || has_said_leaving(listed);
+    bool const newly_leaving = leaves && !e.leaving;
+    e.leaving = e.leaving || leaves;
     if (newly_leaving)
         return change::leaving;
     return new_incarnation ? change::added : change::none;
@@ -76,16 +80,30 @@
     return all;
 }
 
-bool server_table::mark_leaving(backend_id const& id)
+bool server_table::mark_leaving(
+    backend_id const& id, incarnation_number incarnation, time_point now)
 {
     ranked_lock lock(mutex_);
-    auto const it = entries_.find(id);
-    if (it == entries_.end() || it->second.leaving)
+    auto const known = departures_.find(id);
+    bool const is_new = known == departures_.end() || known->second.incarnation < incarnation;
+    if (!is_new)
         return false;
-    it->second.leaving = true;
+    if (known == departures_.end() && departures_.size() >= max_departures)
+        departures_.erase(std::ranges::min_element(
+            departures_, {}, [](auto const& entry) { return entry.second.at; }));
+    departures_[id] = {incarnation, now};
+    auto const it = entries_.find(id);
+    if (it != entries_.end() && has_said_leaving(it->second.view.listed))
+        it->second.leaving = true;
     return true;
 }
 
+bool server_table::has_said_leaving(listed_server const& listed) const
+{
+    auto const found = departures_.find(listed.id);
+    return found != departures_.end() && found->second.incarnation >= listed.incarnation;
+}
+
 server_availability server_table::availability_of(entry const& e, time_point now) const
 {
     if (e.leaving)
--- a/src/state/server_table.hpp
+++ b/src/state/server_table.hpp
@@ -112,9 +112,10 @@
     /// Ids of all servers, missing ones included.
     std::vector<backend_id> ids() const;
 
-    /// Marks a server that announced that it is leaving.
+    /// Marks a server as leaving that says so in an answer. No listing of this incarnation takes it
+    /// back, also after the server was removed.
     /// @return true when it was not marked before
-    bool mark_leaving(backend_id const& id);
+    bool mark_leaving(backend_id const& id, incarnation_number incarnation, time_point now);
 
     /// Servers of a service by their availability; of the open ones, the ejected ones only when
     /// there is no other.
@@ -157,11 +158,21 @@
         bool leaving = false;
     };
 
+    /// An incarnation that said that it leaves.
+    struct departure
+    {
+        incarnation_number incarnation;
+        time_point at{};
+    };
+
+    bool has_said_leaving(listed_server const& listed) const;
+
     server_availability availability_of(entry const& e, time_point now) const;
 
     mutable ranked_mutex mutex_{lock_rank::backend_table};
     send_shares shares_;
     std::map<backend_id, entry> entries_;
+    std::map<backend_id, departure> departures_;
 };
 
 } // namespace auburnweir::state
--- a/src/transport/attempt_recorder.cpp
+++ b/src/transport/attempt_recorder.cpp
@@ -59,6 +59,11 @@
     auto const& id = server.listed.id;
     if (response.load)
         tables.servers.record_load(id, *response.load, now());
+    if (response.leaving && tables.servers.mark_leaving(id, server.listed.incarnation, now()))
+    {
+        tables.counters.increment(state::event_counter::backends_said_leaving);
+        log(log_event::backend_leaving, {{"backend", id.str()}, {"why", "its_answer"}});
+    }
     tables.counters.increment(
         state::event_counter::malformed_statements,
         static_cast<std::uint64_t>(response.malformed_statements));
--- a/src/transport/request_dialect.hpp
+++ b/src/transport/request_dialect.hpp
@@ -25,6 +25,7 @@
 {
     std::string request;  ///< id of the request that it answers; empty when not stated
     bool not_run = false; ///< the server states that it has not run the request and will not
+    bool leaving = false; ///< the server states that it takes no more requests in its lifetime
     std::optional<state::server_load> load;
     std::optional<state::request_rate> rate_limit; ///< that the server takes from all instances
     int malformed_statements = 0; ///< values that the server names of itself and can't be used
--- a/tests/integration/gateway_statement_test.cpp
+++ b/tests/integration/gateway_statement_test.cpp
@@ -86,6 +86,41 @@
     EXPECT_EQ(system.run_count("r1"), 0);
 }
 
+// Guards against DRAIN: an answer says that its server leaves, and the directory does not.
+TEST_F(gateway_statement_test, server_that_says_it_leaves_gets_no_more_requests)
+{
+    say(0, {{"Server-Leaving", "1"}});
+    EXPECT_EQ(send_for(1s, "/safe/x", 200), 0);
+    auto const before = runs_at(0);
+    say(0, json::object());
+    system.list_backend(0, "ready", "v2");
+    EXPECT_EQ(send_for(1s, "/safe/x", 200), 0);
+    system.remove_backend(0);
+    EXPECT_EQ(send_for(500ms, "/safe/x", 200), 0);
+    system.list_backend(0);
+    EXPECT_EQ(send_for(1s, "/safe/x", 200), 0);
+    EXPECT_EQ(runs_at(0), before);
+
+    system.list_backend(0, "ready", "v1", 2000);
+    EXPECT_EQ(send_for(1s, "/safe/x", 200), 0);
+    EXPECT_GT(runs_at(0), before);
+}
+
+// Guards against DRAIN: the statement comes with a refusal, and no other server is left.
+TEST_F(gateway_statement_test, servers_that_refuse_and_leave_get_no_more_requests)
+{
+    for (int i = 0; i < 2; ++i)
+    {
+        gateway_deployment::control(system.backend(i), {{"not_run", true}});
+        say(i, {{"Server-Leaving", "1"}});
+    }
+    send_for(500ms, "/safe/x", 503);
+    for (int i = 0; i < 2; ++i)
+        gateway_deployment::control(system.backend(i), {{"not_run", false}});
+    EXPECT_EQ(send_for(500ms, "/safe/x", 503), 0);
+    EXPECT_EQ(runs_at(0) + runs_at(1), 0);
+}
+
 TEST_F(gateway_statement_test, limits_that_are_no_numbers_are_counted_and_change_nothing)
 {
     say(0, {{"Server-Limit", "-1"}});
