Ask a server that names a return time nothing before it

Cause: the value was not read; a fixed time stood for it, and gave way when no other server was left. Change: the time, in seconds or as a moment, closes the server for this gateway with no fallback, up to max_backend_refusal_s (300 s by default). A later end is not shortened; unusable values are counted. A request for which all servers are closed is refused with the time until the first opens.

--- a/src/protocol/gateway_settings.cpp
+++ b/src/protocol/gateway_settings.cpp
@@ -108,7 +108,12 @@
             "segment_quarantine_s",
             "time for which requests with a prompt segment that crashes backend servers are "
             "refused",
-            "600", 1.0, 43200.0, &settings::segment_quarantine)};
+            "600", 1.0, 43200.0, &settings::segment_quarantine),
+        seconds_option(
+            "max_backend_refusal_s",
+            "longest time for which a backend server that turned a request away is believed that "
+            "it wants no others",
+            "300", 0.0, 86400.0, &settings::max_refusal)};
     return table;
 }
 
--- a/src/protocol/gateway_settings.hpp
+++ b/src/protocol/gateway_settings.hpp
@@ -49,6 +49,7 @@
     state::duration write_timeout{0};
     state::duration body_timeout{0};
     state::duration segment_quarantine{0};
+    state::duration max_refusal{0};
 };
 
 /// Parses a text with one `[gateway]` section. All findings are appended to `out`.
--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -90,6 +90,7 @@
         "backend_limits_changed",
         "malformed_statements",
         "backends_said_leaving",
+        "backend_return_times_named",
     };
 
 } // namespace
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -106,6 +106,7 @@
     backend_limits_changed,
     malformed_statements,
     backends_said_leaving,
+    backend_return_times_named,
     count_
 };
 
--- a/src/state/server_pool.hpp
+++ b/src/state/server_pool.hpp
@@ -29,6 +29,9 @@
 
 using server_availability = std::variant<server_open, server_closed, server_leaving>;
 
+/// When a server wants requests again: after a time, or at a moment of true time.
+using return_time = std::variant<duration, wall_time>;
+
 /// Shares, from 0 to 1, of the rates that servers take from all instances together, which this
 /// instance may use.
 struct send_shares
--- a/src/state/server_table.cpp
+++ b/src/state/server_table.cpp
@@ -108,9 +108,10 @@
 {
     if (e.leaving)
         return server_leaving{};
-    if (!e.view.limit)
-        return server_open{};
-    auto const opens_at = e.view.limit->opens_at(shares_.of(e.view.listed.failure_domain));
+    auto opens_at = e.view.refusing_until;
+    if (e.view.limit)
+        opens_at =
+            std::max(opens_at, e.view.limit->opens_at(shares_.of(e.view.listed.failure_domain)));
     if (opens_at > now)
         return server_closed{opens_at};
     return server_open{};
@@ -121,19 +122,20 @@
     ranked_lock lock(mutex_);
     server_pool result;
     std::vector<server_view> ejected;
-    for (auto const& [id, e] : entries_)
+    for (auto const& item : entries_)
     {
-        if (e.view.listed.service != service)
+        auto const& view = item.second.view;
+        if (view.listed.service != service)
             continue;
-        bool const is_ejected = e.view.ejected_until && *e.view.ejected_until > now;
+        bool const is_ejected = view.ejected_until && *view.ejected_until > now;
         std::visit(
             overloaded{
-                [&](server_open) { (is_ejected ? ejected : result.open).push_back(e.view); },
+                [&](server_open) { (is_ejected ? ejected : result.open).push_back(view); },
                 [&](server_closed closed) {
-                    result.closed.push_back({id, closed.until});
+                    result.closed.push_back({view.listed.id, closed.until});
                 },
                 [](server_leaving) {}},
-            availability_of(e, now));
+            availability_of(item.second, now));
     }
     if (result.open.empty())
         result.open = std::move(ejected);
@@ -173,6 +175,17 @@
     return copy;
 }
 
+void server_table::record_refusing(
+    backend_id const& id, incarnation_number incarnation, time_point until)
+{
+    ranked_lock lock(mutex_);
+    auto const it = entries_.find(id);
+    if (it == entries_.end() || it->second.view.listed.incarnation != incarnation)
+        return;
+    auto& refusing_until = it->second.view.refusing_until;
+    refusing_until = std::max(refusing_until, until);
+}
+
 bool server_table::has_limits() const
 {
     ranked_lock lock(mutex_);
--- a/src/state/server_table.hpp
+++ b/src/state/server_table.hpp
@@ -65,6 +65,7 @@
     double failure_share = 0;                ///< of recent requests, exponentially smoothed
     std::optional<time_point> missing_since; ///< no longer listed since a store outage
     std::optional<send_limit> limit;         ///< that the server's last answer named
+    time_point refusing_until{};             ///< until when the server wants nothing from here
 };
 
 /// A server that takes nothing from this instance for some time.
@@ -135,6 +136,10 @@
         backend_id const& id, incarnation_number incarnation, std::optional<request_rate> rate,
         time_point now);
 
+    /// Records that a server of this incarnation wants nothing from this instance before a time. An
+    /// earlier end never shortens a later one.
+    void record_refusing(backend_id const& id, incarnation_number incarnation, time_point until);
+
     /// Whether any server names a limit.
     bool has_limits() const;
 
--- a/src/transport/attempt_recorder.cpp
+++ b/src/transport/attempt_recorder.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/ejection_policy.hpp"
 #include "protocol/json.hpp"
+#include "state/overloaded.hpp"
 #include "transport/async_signal.hpp"
 #include "transport/log.hpp"
 
@@ -67,6 +68,16 @@
     tables.counters.increment(
         state::event_counter::malformed_statements,
         static_cast<std::uint64_t>(response.malformed_statements));
+    record_limit(server, response);
+    if (response.returns)
+        record_return_time(server, *response.returns);
+}
+
+void attempt_recorder::record_limit(
+    state::server_view const& server, backend_headers const& response)
+{
+    auto& tables = context_.tables;
+    auto const& id = server.listed.id;
     bool const names_no_limit = !response.rate_limit && response.malformed_statements > 0;
     if (names_no_limit ||
         !tables.servers.record_limit(id, server.listed.incarnation, response.rate_limit, now()))
@@ -79,6 +90,27 @@
         log(log_event::backend_limit_lifted, {{"backend", id.str()}});
 }
 
+void attempt_recorder::record_return_time(
+    state::server_view const& server, state::return_time const& returns)
+{
+    auto const named = std::visit(
+        state::overloaded{
+            [](state::duration wait) { return wait; },
+            [&](state::wall_time moment)
+            {
+                auto const wait = moment - context_.clock.true_time();
+                return std::chrono::duration_cast<state::duration>(wait);
+            }},
+        returns);
+    auto const wait = std::clamp(named, state::duration::zero(), context_.settings.max_refusal);
+    auto& tables = context_.tables;
+    tables.servers.record_refusing(server.listed.id, server.listed.incarnation, now() + wait);
+    tables.counters.increment(state::event_counter::backend_return_times_named);
+    auto const for_ms = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
+    log(log_event::backend_refuses,
+        {{"backend", server.listed.id.str()}, {"for_ms", std::to_string(for_ms)}});
+}
+
 void attempt_recorder::record_loss(
     state::server_view const& server, state::forwarded_request const& request)
 {
--- a/src/transport/attempt_recorder.hpp
+++ b/src/transport/attempt_recorder.hpp
@@ -42,6 +42,8 @@
     static constexpr state::duration min_answering_time = std::chrono::seconds{1};
 
 private:
+    void record_return_time(state::server_view const& server, state::return_time const& returns);
+    void record_limit(state::server_view const& server, backend_headers const& response);
     static net::awaitable<void> check_server(
         gateway_context& context, worker& assigned_worker, state::server_view server);
     static void confirm_crash(gateway_context& context, state::server_view const& server);
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -111,6 +111,8 @@
          "a backend server named the requests a second that it takes from all instances"},
         {e::backend_limit_lifted, l::info, "backend_limit_lifted",
          "a backend server no longer names a limit"},
+        {e::backend_refuses, l::info, "backend_refuses",
+         "a backend server turned a request away and wants nothing from this instance for a time"},
         {e::stream_moved, l::info, "stream_moved", "an answer continues on another backend server"},
         {e::stream_failed, l::warning, "stream_failed", "an answer could not be completed"},
         {e::journal_adopted, l::warning, "journal_adopted",
--- a/src/transport/log.hpp
+++ b/src/transport/log.hpp
@@ -42,6 +42,7 @@
     segment_released = 2111,
     backend_limited = 2112,
     backend_limit_lifted = 2113,
+    backend_refuses = 2114,
     stream_moved = 2201,
     stream_failed = 2202,
     journal_adopted = 2203,
--- a/src/transport/request_dialect.hpp
+++ b/src/transport/request_dialect.hpp
@@ -28,6 +28,8 @@
     bool leaving = false; ///< the server states that it takes no more requests in its lifetime
     std::optional<state::server_load> load;
     std::optional<state::request_rate> rate_limit; ///< that the server takes from all instances
+    /// When the server, which turned the request away, wants something from this instance again.
+    std::optional<state::return_time> returns;
     int malformed_statements = 0; ///< values that the server names of itself and can't be used
 };
 
--- a/tests/integration/gateway_statement_test.cpp
+++ b/tests/integration/gateway_statement_test.cpp
@@ -121,6 +121,39 @@
     EXPECT_EQ(runs_at(0) + runs_at(1), 0);
 }
 
+// Guards against BUDGET: a server that said when to return is asked before that.
+TEST_F(gateway_statement_test, servers_that_name_a_return_time_get_nothing_before_it)
+{
+    for (int i = 0; i < 2; ++i)
+    {
+        gateway_deployment::control(system.backend(i), {{"not_run", true}});
+        say(i, {{"Retry-After", "2.5"}});
+    }
+    send_for(200ms, "/safe/x", 503);
+    for (int i = 0; i < 2; ++i)
+    {
+        gateway_deployment::control(system.backend(i), {{"not_run", false}});
+        say(i, json::object());
+    }
+    EXPECT_EQ(send_for(1500ms, "/safe/x", 503), 0);
+    EXPECT_EQ(runs_at(0) + runs_at(1), 0);
+    auto const refused = system.send_request("/once/x", "b1");
+    EXPECT_EQ(refused.reason(), "backends_closed");
+    EXPECT_LT(std::stod(refused.header("Retry-After")), 2.0);
+    std::this_thread::sleep_for(1500ms);
+    EXPECT_EQ(send_for(500ms, "/safe/x", 200), 0);
+}
+
+TEST_F(gateway_statement_test, server_that_names_a_return_time_is_spared_while_another_answers)
+{
+    gateway_deployment::control(system.backend(0), {{"not_run", true}});
+    say(0, {{"Retry-After", "30"}});
+    EXPECT_EQ(send_for(500ms, "/safe/x", 200), 0);
+    gateway_deployment::control(system.backend(0), {{"not_run", false}});
+    EXPECT_EQ(send_for(1s, "/safe/x", 200), 0);
+    EXPECT_EQ(runs_at(0), 0);
+}
+
 TEST_F(gateway_statement_test, limits_that_are_no_numbers_are_counted_and_change_nothing)
 {
     say(0, {{"Server-Limit", "-1"}});
--- a/tests/unit/server_statement_test.cpp
+++ b/tests/unit/server_statement_test.cpp
@@ -73,6 +73,24 @@
     EXPECT_FALSE(is_open());
 }
 
+TEST_F(server_statement_test, server_is_closed_until_the_last_return_time_that_it_named)
+{
+    list(5);
+    table.record_refusing(engine, incarnation_number{5}, now + 4s);
+    table.record_refusing(engine, incarnation_number{5}, now + 1s);
+    table.eject(engine, now + 10s);
+    EXPECT_FALSE(table.try_send(engine, now + 3s));
+    EXPECT_EQ(table.pool(service, now).closed.at(0).until, now + 4s);
+    EXPECT_TRUE(table.try_send(engine, now + 4s));
+}
+
+TEST_F(server_statement_test, return_time_of_an_earlier_incarnation_changes_nothing)
+{
+    list(6);
+    table.record_refusing(engine, incarnation_number{5}, now + 4s);
+    EXPECT_TRUE(is_open());
+}
+
 TEST_F(server_statement_test, departures_stay_bounded_and_the_newest_hold)
 {
     for (int i = 0; i < 10000; ++i, now += 1ms)
@@ -124,5 +142,28 @@
     }
 }
 
+TEST_F(statement_header_test, return_time_is_read_from_503_alone_in_both_forms)
+{
+    EXPECT_EQ(decode({{"Retry-After", "1.25"}}, 503).returns, return_time{duration{1250ms}});
+    EXPECT_FALSE(decode({{"Retry-After", "1.25"}}, 200).returns);
+    EXPECT_FALSE(decode({}, 503).returns);
+    EXPECT_EQ(
+        decode({{"Retry-After", "Sun, 06 Nov 1994 08:49:37 GMT"}}, 503).returns,
+        return_time{wall_time{784111777s}});
+    EXPECT_EQ(
+        decode({{"Retry-After", "2"}, {"Retry-After", "7"}}, 503).returns,
+        return_time{duration{7s}});
+}
+
+TEST_F(statement_header_test, return_time_that_can_not_be_used_is_counted)
+{
+    for (auto const* value : {"-1", "nan", "inf", "1e10", "soon", "", "Sun, 06 Nov", "1, 2"})
+    {
+        auto const bad = decode({{"Retry-After", value}}, 503);
+        EXPECT_FALSE(bad.returns) << value;
+        EXPECT_EQ(bad.malformed_statements, 1) << value;
+    }
+}
+
 } // namespace
 } // namespace auburnweir::state
