--- a/src/coordination/segment_quarantine.cpp
+++ b/src/coordination/segment_quarantine.cpp
@@ -183,7 +183,7 @@
     remove_expired(now);
     state::segment_observations report;
     collect(outgoing_crashes_, sequence, all, now, report.crashes);
-    collect(outgoing_answers_, sequence, all, now, report.survivals);
+    collect(outgoing_answers_, sequence, all, now, report.answers);
     report.digest = digest();
     if (verdicts_requested_)
         report.verdicts = all_verdicts(now);
@@ -204,7 +204,7 @@
     for (auto const& crash : report.crashes)
         add_crash(crash.segment, crash.server, now - crash.age, now);
     auto changes = merge_verdicts(report.verdicts, now);
-    for (auto const& answer : report.survivals)
+    for (auto const& answer : report.answers)
         if (auto const change = add_answer(answer.segment, now - answer.age, now))
             changes.push_back(*change);
     return changes;
@@ -353,7 +353,7 @@
     if (!e.answered_at || e.reported_answer == e.answered_at)
         return;
     e.reported_answer = e.answered_at;
-    queue(outgoing_answers_, outgoing<state::segment_survival>{{segment, {}}, *e.answered_at});
+    queue(outgoing_answers_, outgoing<state::segment_answer>{{segment, {}}, *e.answered_at});
 }
 
 std::size_t segment_quarantine::needed_crashes(segment_hash segment, evidence const& e) const
--- a/src/coordination/segment_quarantine.hpp
+++ b/src/coordination/segment_quarantine.hpp
@@ -175,7 +175,7 @@
     std::map<state::segment_hash, evidence> evidence_;
     std::map<state::segment_hash, verdict> verdicts_;
     std::vector<outgoing<state::segment_crash>> outgoing_crashes_;
-    std::vector<outgoing<state::segment_survival>> outgoing_answers_;
+    std::vector<outgoing<state::segment_answer>> outgoing_answers_;
     bool verdicts_requested_ = false; ///< the holder's digest differed
 };
 
--- a/src/protocol/instance_report_codec.cpp
+++ b/src/protocol/instance_report_codec.cpp
@@ -162,6 +162,9 @@
     return out;
 }
 
+/// Failure domains of one deployment.
+constexpr std::size_t max_domains = 256;
+
 double read_share(element_reader& in)
 {
     auto const share = in.decimal();
@@ -178,6 +181,7 @@
     {
         state::failure_domain_id domain{in.text()};
         shares.by_domain[std::move(domain)] = read_share(in);
+        require(shares.by_domain.size() <= max_domains, "list is too long");
     }
     return shares;
 }
--- a/src/protocol/segment_evidence_codec.cpp
+++ b/src/protocol/segment_evidence_codec.cpp
@@ -61,11 +61,11 @@
     auto crashes = json::array();
     for (auto const& c : observations.crashes)
         crashes.push_back(json::array({c.segment.count(), c.server.count(), c.age.count()}));
-    auto survivals = json::array();
-    for (auto const& s : observations.survivals)
-        survivals.push_back(json::array({s.segment.count(), s.age.count()}));
+    auto answers = json::array();
+    for (auto const& s : observations.answers)
+        answers.push_back(json::array({s.segment.count(), s.age.count()}));
     return json::array(
-        {std::move(crashes), std::move(survivals), observations.digest.count(),
+        {std::move(crashes), std::move(answers), observations.digest.count(),
          encode_verdict_list(observations.verdicts)});
 }
 
@@ -84,11 +84,11 @@
     }
     for (auto const& e : read_list(in))
     {
-        element_reader survival(e);
-        state::segment_survival s;
-        s.segment = state::segment_hash{survival.unsigned_integer()};
-        s.age = read_age(survival);
-        observations.survivals.push_back(s);
+        element_reader answer(e);
+        state::segment_answer s;
+        s.segment = state::segment_hash{answer.unsigned_integer()};
+        s.age = read_age(answer);
+        observations.answers.push_back(s);
     }
     observations.digest = state::verdicts_digest{in.unsigned_integer()};
     observations.verdicts = read_verdict_list(read_list(in));
--- a/src/state/segment_evidence.hpp
+++ b/src/state/segment_evidence.hpp
@@ -29,12 +29,12 @@
 };
 
 /// A server answered a request with this segment.
-struct segment_survival
+struct segment_answer
 {
     segment_hash segment;
     duration age{0}; ///< time since the answer when the message was made
 
-    friend bool operator==(segment_survival const&, segment_survival const&) = default;
+    friend bool operator==(segment_answer const&, segment_answer const&) = default;
 };
 
 /// Whether requests with a segment are refused because they crash servers. The verdict with the
@@ -56,7 +56,7 @@
 struct segment_observations
 {
     std::vector<segment_crash> crashes;
-    std::vector<segment_survival> survivals;
+    std::vector<segment_answer> answers;
     verdicts_digest digest{0};
     std::vector<segment_verdict> verdicts; ///< only when the holder's digest differed
 
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -224,9 +224,12 @@
         static_cast<double>(live_count) / all, time + validity, 1 / all, time);
     context_.tables.retry_budget.set_slack(
         divided_slack_share * context_.settings.repeat_slack / all);
-    std::lock_guard lock(mutex_);
-    if (time >= traffic_known_until_)
-        context_.tables.servers.set_send_shares(coordination::equal_send_shares(instance_count));
+    {
+        std::lock_guard lock(mutex_);
+        if (time < traffic_known_until_)
+            return;
+    }
+    context_.tables.servers.set_send_shares(coordination::equal_send_shares(instance_count));
 }
 
 std::optional<std::uint64_t> peer_exchange::requests_to_report() const
@@ -240,10 +243,10 @@
 {
     if (!traffic)
         return;
-    std::lock_guard lock(mutex_);
-    traffic_known_until_ = now() + traffic_validity;
     context_.tables.servers.set_send_shares(
         coordination::send_shares_from(*traffic, context_.settings.failure_domain));
+    std::lock_guard lock(mutex_);
+    traffic_known_until_ = now() + traffic_validity;
 }
 
 void peer_exchange::share_limits_as_holder()
--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -14,8 +14,8 @@
 /// Each instance has one link to the holder, so that links and messages grow linearly with the
 /// number of instances and not with its square.
 ///
-/// Without a holder, an instance uses only its local share of the limits. Thread-safe; its lock
-/// comes before those of the tables.
+/// Without a holder, an instance uses only its local share of the limits. Thread-safe; no other
+/// lock is held together with its lock.
 class peer_exchange
 {
 public:
--- a/tests/property/parser_property_test.cpp
+++ b/tests/property/parser_property_test.cpp
@@ -61,7 +61,7 @@
     {
         state::segment_hash const segment{*rc::gen::arbitrary<std::uint64_t>()};
         segments.crashes.push_back({segment, state::server_process_hash{7}, state::duration{i}});
-        segments.survivals.push_back({segment, state::duration{i}});
+        segments.answers.push_back({segment, state::duration{i}});
         segments.verdicts.push_back({segment, 3, i % 2 == 0, state::duration{i}});
     }
     segments.digest = state::verdicts_digest{*rc::gen::arbitrary<std::uint64_t>()};
--- a/tests/unit/segment_quarantine_test.cpp
+++ b/tests/unit/segment_quarantine_test.cpp
@@ -270,7 +270,7 @@
     }
     auto const report = at(1).begin_report(++sequence, true, now);
     EXPECT_LE(report.crashes.size(), 64U);
-    EXPECT_LE(report.survivals.size(), 64U);
+    EXPECT_LE(report.answers.size(), 64U);
 }
 
 /// A deployment under the load of the pattern: one request in twenty has the deadly
