Count a missing server's time from the store's last error

Cause: a server that disappears within 2.3 s of a store error was kept for 2.3 s from its removal and until the next check. Entries that expired in an outage are listed again within two seconds of the store's return, so the time belongs to the error. Class: a time-out counted from the wrong event. Change: the time ends 2.3 s after the last error, and the servers' table itself closes the server then. Tests: server_removed_after_store_error_is_used_until_servers_are_listed_again failed before; missing_server_* of server_statement_test.

--- a/src/coordination/fleet_planner.cpp
+++ b/src/coordination/fleet_planner.cpp
@@ -39,7 +39,7 @@
 {
     fleet_counts counts;
     for (auto const& s : servers)
-        if (!s.listed.draining && !s.missing_since)
+        if (!s.listed.draining && !s.missing_until)
             ++counts[{s.listed.service, s.listed.failure_domain, s.listed.reclaimable}];
     return counts;
 }
--- a/src/state/server_table.cpp
+++ b/src/state/server_table.cpp
@@ -27,7 +27,7 @@
         e = entry{};
         e.view.first_listed_at = now;
     }
-    e.view.missing_since.reset();
+    e.view.missing_until.reset();
     e.view.listed = listed;
     bool const leaves = listed.draining || has_said_leaving(listed);
     bool const newly_leaving = leaves && !e.leaving;
@@ -37,40 +37,45 @@
     return new_incarnation ? change::added : change::none;
 }
 
-server_table::change server_table::remove(backend_id const& id, bool keep, time_point now)
+server_table::change server_table::remove(
+    backend_id const& id, std::optional<time_point> keep_until)
 {
     ranked_lock lock(mutex_);
     auto const it = entries_.find(id);
     if (it == entries_.end())
         return change::none;
-    if (keep && !it->second.leaving)
+    if (keep_until && !it->second.leaving)
     {
-        if (!it->second.view.missing_since)
-            it->second.view.missing_since = now;
+        auto& missing_until = it->second.view.missing_until;
+        missing_until = missing_until.value_or(*keep_until);
         return change::missing;
     }
     entries_.erase(it);
     return change::removed;
 }
 
-std::vector<backend_id> server_table::expire_missing(time_point now, duration grace)
+std::vector<backend_id> server_table::expire_missing(time_point now)
 {
     ranked_lock lock(mutex_);
     std::vector<backend_id> expired;
     for (auto it = entries_.begin(); it != entries_.end();)
     {
-        auto const& since = it->second.view.missing_since;
-        if (since && now - *since > grace)
+        if (!is_expired(it->second, now))
         {
-            expired.push_back(it->first);
-            it = entries_.erase(it);
-        }
-        else
             ++it;
+            continue;
+        }
+        expired.push_back(it->first);
+        it = entries_.erase(it);
     }
     return expired;
 }
 
+bool server_table::is_expired(entry const& e, time_point now)
+{
+    return e.view.missing_until && *e.view.missing_until <= now;
+}
+
 std::vector<backend_id> server_table::ids() const
 {
     ranked_lock lock(mutex_);
@@ -106,7 +111,7 @@
 
 server_availability server_table::availability_of(entry const& e, time_point now) const
 {
-    if (e.leaving)
+    if (e.leaving || is_expired(e, now))
         return server_leaving{};
     auto opens_at = e.view.refusing_until;
     if (e.view.limit)
--- a/src/state/server_table.hpp
+++ b/src/state/server_table.hpp
@@ -61,11 +61,12 @@
     int ejections = 0;
     std::optional<time_point> ejected_until;
     time_point first_listed_at{};
-    time_point refused_at{};                 ///< when the server last refused a request
-    double failure_share = 0;                ///< of recent requests, exponentially smoothed
-    std::optional<time_point> missing_since; ///< no longer listed since a store outage
-    std::optional<send_limit> limit;         ///< that the server's last answer named
-    time_point refusing_until{};             ///< until when the server wants nothing from here
+    time_point refused_at{};  ///< when the server last refused a request
+    double failure_share = 0; ///< of recent requests, exponentially smoothed
+    /// Set for a server that is no longer listed after a store outage: until when it is used.
+    std::optional<time_point> missing_until;
+    std::optional<send_limit> limit; ///< that the server's last answer named
+    time_point refusing_until{};     ///< until when the server wants nothing from here
 };
 
 /// A server that takes nothing from this instance for some time.
@@ -104,11 +105,12 @@
     change apply(listed_server const& listed, time_point now);
 
     /// Handles a server that the directory no longer lists.
-    /// @param keep  keep using the server as missing until `expire_missing`; not if it is leaving
-    change remove(backend_id const& id, bool keep, time_point now);
+    /// @param keep_until  use the server as missing until then, unless it is leaving; null: not at
+    ///                    all
+    change remove(backend_id const& id, std::optional<time_point> keep_until);
 
-    /// Removes servers that have been missing for longer than `grace`. @return their ids
-    std::vector<backend_id> expire_missing(time_point now, duration grace);
+    /// Removes servers that are missing and no longer used. @return their ids
+    std::vector<backend_id> expire_missing(time_point now);
 
     /// Ids of all servers, missing ones included.
     std::vector<backend_id> ids() const;
@@ -170,6 +172,7 @@
         time_point at{};
     };
 
+    static bool is_expired(entry const& e, time_point now);
     bool has_said_leaving(listed_server const& listed) const;
 
     server_availability availability_of(entry const& e, time_point now) const;
--- a/src/transport/directory_sync.cpp
+++ b/src/transport/directory_sync.cpp
@@ -80,7 +80,7 @@
 void directory_sync::expire()
 {
     std::lock_guard lock(mutex_);
-    for (auto const& expired : context_.tables.servers.expire_missing(now(), relisting_timeout))
+    for (auto const& expired : context_.tables.servers.expire_missing(now()))
     {
         context_.tables.directory_log.record_removed(expired);
         log(log_event::backend_gone, {{"backend", expired.str()}, {"why", "not_listed_again"}});
@@ -114,10 +114,14 @@
 
 void directory_sync::remove_server(state::backend_id const& id)
 {
-    bool const store_failed_recently =
-        store_failed_at_ != state::time_point{} && now() - store_failed_at_ < relisting_timeout;
+    // Counted from the store's last error, not from the removal: a server that leaves after the
+    // store's return is not listed again.
+    auto const relisted_until = store_failed_at_ + relisting_timeout;
+    bool const may_be_relisted = store_failed_at_ != state::time_point{} && now() < relisted_until;
     using change = state::server_table::change;
-    if (context_.tables.servers.remove(id, store_failed_recently, now()) != change::removed)
+    auto const result = context_.tables.servers.remove(
+        id, may_be_relisted ? std::optional{relisted_until} : std::nullopt);
+    if (result != change::removed)
         return;
     context_.tables.directory_log.record_removed(id);
     log(log_event::backend_gone, {{"backend", id.str()}, {"why", "not_listed"}});
--- a/tests/unit/directory_sync_test.cpp
+++ b/tests/unit/directory_sync_test.cpp
@@ -7,6 +7,7 @@
 #include "transport/clock.hpp"
 
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace auburnweir::transport
 {
@@ -56,6 +57,11 @@
         return std::find(ids.begin(), ids.end(), state::backend_id{id}) != ids.end();
     }
 
+    bool is_open(std::string const& id)
+    {
+        return tables.servers.try_send(state::backend_id{id}, now());
+    }
+
     protocol::gateway_settings settings = []
     {
         protocol::gateway_settings s;
@@ -113,5 +119,22 @@
     EXPECT_TRUE(directory.holder_updates_are_fresh());
 }
 
+// Guards against DRAIN: a server that left after the store's return is used for a whole time-out
+// more.
+TEST_F(directory_sync_test, server_removed_after_store_error_is_used_until_servers_are_listed_again)
+{
+    constexpr auto after_error = 1200ms;
+    ASSERT_TRUE(directory.apply_rows(listing({row("a"), row("b")}, start), true));
+    directory.record_store_error();
+    std::this_thread::sleep_for(after_error);
+    ASSERT_TRUE(directory.apply_update(update({}, {"a"}), now()));
+    EXPECT_TRUE(is_open("a"));
+    std::this_thread::sleep_for(after_error);
+    EXPECT_FALSE(is_open("a"));
+    EXPECT_TRUE(is_open("b"));
+    directory.expire();
+    EXPECT_FALSE(knows("a"));
+}
+
 } // namespace
 } // namespace auburnweir::transport
--- a/tests/unit/server_statement_test.cpp
+++ b/tests/unit/server_statement_test.cpp
@@ -49,7 +49,7 @@
 {
     list(5);
     say_leaving(5);
-    table.remove(engine, false, now);
+    table.remove(engine, std::nullopt);
     list(5);
     EXPECT_FALSE(is_open());
 }
@@ -91,6 +91,26 @@
     EXPECT_TRUE(is_open());
 }
 
+// Guards against DRAIN: a server that is kept after a store outage outlasts its time.
+TEST_F(server_statement_test, missing_server_is_open_until_the_time_that_was_set_first)
+{
+    list(5);
+    table.remove(engine, now + 2s);
+    table.remove(engine, now + 4s);
+    EXPECT_TRUE(table.try_send(engine, now + 1s));
+    EXPECT_FALSE(table.try_send(engine, now + 2s));
+    EXPECT_EQ(table.expire_missing(now + 2s).size(), 1U);
+}
+
+TEST_F(server_statement_test, missing_server_that_is_listed_again_stays_open)
+{
+    list(5);
+    table.remove(engine, now + 2s);
+    list(5);
+    EXPECT_TRUE(table.try_send(engine, now + 3s));
+    EXPECT_TRUE(table.expire_missing(now + 3s).empty());
+}
+
 TEST_F(server_statement_test, departures_stay_bounded_and_the_newest_hold)
 {
     for (int i = 0; i < 10000; ++i, now += 1ms)
