--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -338,9 +338,6 @@
         if (directory_source_.id == holder_.id)
             report.directory = directory_version_;
         report.directory_holder = directory_source_.incarnation;
-    }
-    {
-        std::lock_guard lock(mutex_);
         pending_reports_.push_back({report.sequence, now()});
         if (pending_reports_.size() > max_pending_reports)
             pending_reports_.pop_front();
