--- a/src/state/ids.hpp
+++ b/src/state/ids.hpp
@@ -41,6 +41,10 @@
 /// Version of a row in the table service; 0 when the row is absent.
 using row_version = quantity<struct row_version_unit, std::uint64_t>;
 
+/// Grows by one each time the store comes back from an older copy, which takes back what it has
+/// acknowledged since; row versions of different eras can't be compared.
+using store_era = quantity<struct store_era_unit, std::uint64_t>;
+
 /// Grows with each change of a lease's holder; fences older holders.
 using fencing_number = quantity<struct fencing_unit, std::uint64_t>;
 
--- a/src/state/lock_rank.hpp
+++ b/src/state/lock_rank.hpp
@@ -9,6 +9,7 @@
 /// Lock order of the shared tables: a thread acquires locks only in ascending rank.
 enum class lock_rank : int
 {
+    store_eras = 5,
     configuration = 10,
     admission_gate = 15,
     admission = 20,
--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -91,6 +91,7 @@
         "malformed_statements",
         "backends_said_leaving",
         "backend_return_times_named",
+        "store_restores_seen",
     };
 
 } // namespace
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -107,6 +107,7 @@
     malformed_statements,
     backends_said_leaving,
     backend_return_times_named,
+    store_restores_seen, ///< eras of the store that began while this process ran
     count_
 };
 
--- a/src/transport/control_store.hpp
+++ b/src/transport/control_store.hpp
@@ -29,6 +29,7 @@
 struct row_listing
 {
     std::vector<stored_row> rows;
+    state::store_era era;
     state::row_version version; ///< of the whole store
     coordination::store_time store_time{0};
     state::time_point requested_at{};
@@ -59,6 +60,7 @@
 
 struct write_applied
 {
+    state::store_era era;
     state::row_version version;
     coordination::store_time store_time{0};
     state::time_point requested_at{};
--- a/src/transport/gateway_tables.hpp
+++ b/src/transport/gateway_tables.hpp
@@ -14,6 +14,7 @@
 #include "state/rollout_table.hpp"
 #include "state/route_table.hpp"
 #include "state/server_table.hpp"
+#include "state/store_eras.hpp"
 #include "state/usage_table.hpp"
 
 namespace auburnweir::transport
@@ -61,6 +62,7 @@
         return result;
     }
 
+    state::store_eras store_eras;
     state::route_table routes;
     state::server_table servers;
     state::directory_log directory_log;
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -80,6 +80,8 @@
         {e::version_withheld, l::info, "version_withheld",
          "a rollout was requested; the target version gets no requests while the old version has "
          "servers"},
+        {e::configuration_outdated, l::warning, "configuration_outdated",
+         "the store lists an older configuration than the one in force, which stays in force"},
         {e::platform_unreachable, l::warning, "platform_unreachable",
          "a call to the platform failed; the lists that were last read stay in force"},
         {e::platform_reachable, l::info, "platform_reachable", "the platform responds again"},
@@ -87,6 +89,10 @@
          "calls to the store fail; the rows that were last read stay in force up to their maximum "
          "age"},
         {e::store_regained, l::info, "store_regained", "the store responds again"},
+        {e::store_restored, l::warning, "store_restored",
+         "the store came back from an older copy; what it acknowledged since the copy is gone "
+         "until "
+         "it is written again"},
         {e::backend_leaving, l::info, "backend_leaving",
          "a backend server is leaving and gets no new requests until it is replaced"},
         {e::backend_ejected, l::warning, "backend_ejected",
--- a/src/transport/store_watch.cpp
+++ b/src/transport/store_watch.cpp
@@ -3,6 +3,7 @@
 #include "coordination/store_pacing.hpp"
 #include "transport/async_signal.hpp"
 #include "transport/log.hpp"
+#include "transport/store_observer.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -199,7 +200,7 @@
 
 void store_watch::apply_operator_listing(row_listing const& listing)
 {
-    context_.clock.observe(listing.store_time, listing.requested_at, listing.received_at);
+    observe_store(context_, listing);
     apply_operator_rows(listing);
     operator_version_ = std::max(operator_version_, listing.version);
     if (routes_were_read_)
@@ -244,8 +245,15 @@
     auto const count = routes->route_count();
     auto const organisations = routes->organisations().size();
     routes_were_read_ = true;
+    auto const active = context_.tables.routes.current();
     if (!context_.tables.routes.apply(std::move(routes)))
+    {
+        if (version < active->version())
+            log(log_event::configuration_outdated,
+                {{"version", std::to_string(version.count())},
+                 {"in_force", std::to_string(active->version().count())}});
         return;
+    }
     log(log_event::configuration_taken, {{"version", std::to_string(version.count())},
                                          {"routes", std::to_string(count)},
                                          {"organisations", std::to_string(organisations)}});
