Compare row versions within one era of the store only

Callers saw 404 on routes that had been confirmed, and requests on old routes, at all gateways but the holder of the duties (CONFIG, DENIED). Cause: versions of rows are given out again after the store came back from an older copy. Followers compared the holder's newest version with their own of the era before, and reads of changes began at a version that the store did not have, or had given to another change. Change: a position is an era and a version; a table_reader reads the whole table when the era has changed or the history is gone, and drops responses of an earlier era. Pages of two eras are not joined.

--- a/src/protocol/instance_report_codec.cpp
+++ b/src/protocol/instance_report_codec.cpp
@@ -76,15 +76,19 @@
 
 json encode_rows_status(state::operator_rows_status const& status)
 {
-    return json::array({status.newest.count(), status.age.count()});
+    return json::array(
+        {status.newest.version.count(), status.age.count(), status.newest.era.count()});
 }
 
 state::operator_rows_status read_rows_status(json const& from)
 {
     element_reader in(from);
     state::operator_rows_status status;
-    status.newest = state::row_version{in.unsigned_integer()};
+    status.newest.version = state::row_version{in.unsigned_integer()};
     status.age = state::duration{in.integer()};
+    // Instances of the version before name no era.
+    if (!in.at_end())
+        status.newest.era = state::store_era{in.unsigned_integer()};
     return status;
 }
 
--- a/src/state/report_response.hpp
+++ b/src/state/report_response.hpp
@@ -2,6 +2,7 @@
 #define AUBURNWEIR_STATE_REPORT_RESPONSE_HPP
 
 #include "state/instance_report.hpp"
+#include "state/store_position.hpp"
 #include "state/traffic_shares.hpp"
 
 namespace auburnweir::state
@@ -10,8 +11,8 @@
 /// How current the holder's copy of the operator rows is.
 struct operator_rows_status
 {
-    row_version newest; ///< version of the newest row that the holder applied
-    duration age{0};    ///< time since the request by which the store confirmed that none is newer
+    store_position newest; ///< of the newest row that the holder applied
+    duration age{0}; ///< time since the request by which the store confirmed that none is newer
 
     friend bool operator==(operator_rows_status const&, operator_rows_status const&) = default;
 };
--- a/src/state/route_table.hpp
+++ b/src/state/route_table.hpp
@@ -3,6 +3,7 @@
 
 #include "state/lock_rank.hpp"
 #include "state/route_set.hpp"
+#include "state/store_position.hpp"
 
 #include <algorithm>
 
@@ -26,15 +27,15 @@
         return true;
     }
 
-    /// Records that all changes of the operator rows up to version `newest` have been applied.
-    void mark_applied_through(row_version newest)
+    /// Records that all changes of the operator rows up to `newest` have been applied.
+    void mark_applied_through(store_position newest)
     {
         ranked_lock lock(mutex_);
         newest_ = std::max(newest_, newest);
     }
 
-    /// Version of the newest operator row that was applied.
-    row_version newest() const
+    /// Position of the newest operator row that was applied.
+    store_position newest() const
     {
         ranked_lock lock(mutex_);
         return newest_;
@@ -67,7 +68,7 @@
 private:
     mutable ranked_mutex mutex_{lock_rank::configuration};
     route_set_ptr routes_;
-    row_version newest_;
+    store_position newest_;
     time_point confirmed_at_{};
 };
 
--- a/src/transport/control_store.cpp
+++ b/src/transport/control_store.cpp
@@ -13,6 +13,8 @@
         return "refused";
     case store_error::history_dropped:
         return "history_dropped";
+    case store_error::outdated:
+        return "outdated";
     case store_error::malformed:
         break;
     }
--- a/src/transport/control_store.hpp
+++ b/src/transport/control_store.hpp
@@ -41,6 +41,7 @@
     unreachable,     ///< no response: a write may have been applied or may still be
     refused,         ///< nothing was applied
     history_dropped, ///< the store no longer keeps the changes since the given version
+    outdated,        ///< the response is from before the store came back from a copy
     malformed        ///< the response can't be decoded
 };
 
--- a/src/transport/store_watch.cpp
+++ b/src/transport/store_watch.cpp
@@ -3,7 +3,6 @@
 #include "coordination/store_pacing.hpp"
 #include "transport/async_signal.hpp"
 #include "transport/log.hpp"
-#include "transport/store_observer.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -60,6 +59,8 @@
     , directory_(directory)
     , peers_(peers)
     , io_(context.workers.at(0).io())
+    , operator_rows_(context, context.ports.format.operator_table())
+    , directory_rows_(context, context.ports.format.directory_table())
 {
 }
 
@@ -85,10 +86,7 @@
 
 net::awaitable<void> store_watch::watch_configuration()
 {
-    auto& store = context_.ports.store;
     auto const& settings = context_.settings;
-    auto const table = context_.ports.format.operator_table();
-    bool read_whole_table = true;
     retry_backoff backoff;
     for (;;)
     {
@@ -97,7 +95,6 @@
             co_await sleep_for(io_, check_interval);
             continue;
         }
-        store_result<row_listing> listing = store_error::unreachable;
         // After an error, or without the holder, the first response must not be delayed: it shows
         // that the store is available, and confirms the configuration.
         bool const confirmed =
@@ -105,23 +102,17 @@
         bool const holder_answers = peers_.holder_rows().has_value();
         auto const wait = backoff.active() || !confirmed || holder_answers ? state::duration::zero()
                                                                            : settings.watch_wait;
-        watch_is_pending_ = !read_whole_table && wait > state::duration::zero();
-        if (read_whole_table)
-            listing = co_await store.read_table(table, settings.store_timeout);
-        else
-            listing = co_await store.read_changes(
-                table, operator_version_, wait, wait + settings.store_timeout);
+        watch_is_pending_ = !operator_rows_.reads_whole_table() && wait > state::duration::zero();
+        auto const reading = co_await operator_rows_.read(wait, settings.store_timeout);
         watch_is_pending_ = false;
-        if (!listing)
+        if (!reading)
         {
-            read_whole_table = read_whole_table || listing.error() == store_error::history_dropped;
-            record_reachability(configuration_reachable_, "configuration", listing.error());
+            record_reachability(configuration_reachable_, "configuration", reading.error());
             co_await sleep_for(io_, backoff.next(max_retry_delay()));
             continue;
         }
         backoff = {};
-        read_whole_table = false;
-        apply_operator_listing(listing.value());
+        apply_operator_reading(reading.value());
         if (holder_answers)
             co_await sleep_for(io_, check_interval);
     }
@@ -165,9 +156,6 @@
 
 net::awaitable<void> store_watch::confirm_configuration()
 {
-    auto& store = context_.ports.store;
-    auto const& settings = context_.settings;
-    auto const table = context_.ports.format.operator_table();
     retry_backoff backoff;
     auto queried_at = now();
     for (;;)
@@ -182,29 +170,26 @@
         if (!watch_is_pending_ || age < confirmation_age())
             continue;
         queried_at = now();
-        auto listing = co_await store.read_changes(
-            table, operator_version_, state::duration::zero(), settings.store_timeout);
         // The pending watch may not detect that the store dropped the history it waits for.
-        if (!listing && listing.error() == store_error::history_dropped)
-            listing = co_await store.read_table(table, settings.store_timeout);
-        if (listing)
+        auto const reading =
+            co_await operator_rows_.read(state::duration::zero(), context_.settings.store_timeout);
+        if (reading)
         {
             backoff = {};
-            apply_operator_listing(listing.value());
+            apply_operator_reading(reading.value());
             continue;
         }
         backoff.next(max_retry_delay());
-        record_reachability(configuration_reachable_, "configuration", listing.error());
+        record_reachability(configuration_reachable_, "configuration", reading.error());
     }
 }
 
-void store_watch::apply_operator_listing(row_listing const& listing)
+void store_watch::apply_operator_reading(table_reading const& reading)
 {
-    observe_store(context_, listing);
-    apply_operator_rows(listing);
-    operator_version_ = std::max(operator_version_, listing.version);
+    apply_operator_rows(reading.listing);
+    operator_rows_.record_applied(reading);
     if (routes_were_read_)
-        context_.tables.routes.confirm(listing.requested_at);
+        context_.tables.routes.confirm(reading.listing.requested_at);
     record_reachability(configuration_reachable_, "configuration", std::nullopt);
 }
 
@@ -222,7 +207,7 @@
         else if (auto const rollout = format.rollout_request(row.key, row.value))
             apply_rollout(*rollout);
     }
-    context_.tables.routes.mark_applied_through(newest);
+    context_.tables.routes.mark_applied_through({listing.era, newest});
 }
 
 void store_watch::apply_rollout(requested_rollout const& rollout)
@@ -261,11 +246,6 @@
 
 net::awaitable<void> store_watch::watch_directory()
 {
-    auto& store = context_.ports.store;
-    auto const& settings = context_.settings;
-    auto const table = context_.ports.format.directory_table();
-    bool read_whole_table = true;
-    state::row_version since;
     retry_backoff backoff;
     for (;;)
     {
@@ -275,34 +255,23 @@
             co_await sleep_for(io_, check_interval);
             continue;
         }
-        store_result<row_listing> listing = store_error::unreachable;
-        if (read_whole_table)
-            listing = co_await store.read_table(table, settings.store_timeout);
-        else
-            listing = co_await store.read_changes(
-                table, since, state::duration::zero(), settings.store_timeout);
-        if (listing)
+        auto const reading =
+            co_await directory_rows_.read(state::duration::zero(), context_.settings.store_timeout);
+        if (reading)
         {
             backoff = {};
-            if (directory_.apply_rows(listing.value(), read_whole_table))
-            {
-                since = std::max(since, listing.value().version);
-                read_whole_table = false;
-            }
+            if (directory_.apply_rows(reading.value().listing, reading.value().is_whole_table))
+                directory_rows_.record_applied(reading.value());
             servers_were_read_ = true;
             record_reachability(directory_reachable_, "directory", std::nullopt);
         }
         else
         {
-            read_whole_table = read_whole_table || listing.error() == store_error::history_dropped;
-            // Dropped history is not an outage: servers that the next read does not list are
-            // removed.
-            if (listing.error() != store_error::history_dropped)
-                directory_.record_store_error();
-            record_reachability(directory_reachable_, "directory", listing.error());
+            directory_.record_store_error();
+            record_reachability(directory_reachable_, "directory", reading.error());
         }
         auto delay = directory_period();
-        if (!listing)
+        if (!reading)
             delay = backoff.next(max_retry_delay());
         co_await sleep_for(io_, delay);
     }
--- a/src/transport/store_watch.hpp
+++ b/src/transport/store_watch.hpp
@@ -3,6 +3,7 @@
 
 #include "transport/directory_sync.hpp"
 #include "transport/peer_exchange.hpp"
+#include "transport/table_reader.hpp"
 
 namespace auburnweir::transport
 {
@@ -21,7 +22,7 @@
 private:
     net::awaitable<void> watch_configuration();
     net::awaitable<void> confirm_configuration();
-    void apply_operator_listing(row_listing const& listing);
+    void apply_operator_reading(table_reading const& reading);
     net::awaitable<void> watch_directory();
     void apply_operator_rows(row_listing const& listing);
     void apply_rollout(requested_rollout const& rollout);
@@ -37,8 +38,9 @@
     directory_sync& directory_;
     peer_exchange const& peers_;
     net::io_context& io_;
-    state::row_version operator_version_; ///< operator rows were applied up to it
-    bool watch_is_pending_ = false;       ///< a long poll of the operator rows is in progress
+    table_reader operator_rows_;
+    table_reader directory_rows_;
+    bool watch_is_pending_ = false; ///< a long poll of the operator rows is in progress
     bool routes_were_read_ = false;
     bool servers_were_read_ = false;
     bool configuration_reachable_ = true;
--- a/tests/support/gateway_deployment.cpp
+++ b/tests/support/gateway_deployment.cpp
@@ -191,10 +191,28 @@
         config["tenants"] = plan_.organisations;
     if (change)
         change(config);
-    json const row{{"table", "op"}, {"key", "config"}, {"value", config.dump()}};
+    configuration_ = std::move(config);
+    rewrite_configuration();
+}
+
+void gateway_deployment::rewrite_configuration()
+{
+    json const row{{"table", "op"}, {"key", "config"}, {"value", configuration_.dump()}};
     control(*store_, {{"put", json::array({row})}});
 }
 
+void gateway_deployment::copy_store()
+{
+    control(*store_, {{"copy", true}});
+}
+
+void gateway_deployment::restore_store()
+{
+    control(*store_, {{"down", true}});
+    std::this_thread::sleep_for(std::chrono::milliseconds{300});
+    control(*store_, {{"restore", true}, {"down", false}});
+}
+
 void gateway_deployment::list_backend(
     int index, std::string const& server_state, std::string const& version,
     std::int64_t incarnation)
--- a/tests/support/gateway_deployment.hpp
+++ b/tests/support/gateway_deployment.hpp
@@ -68,6 +68,15 @@
     /// modified it.
     void configure(std::function<void(json&)> const& change = {});
 
+    /// Writes the last configuration once more, as operators do when the store has lost it.
+    void rewrite_configuration();
+
+    /// Makes the store keep a copy of its rows.
+    void copy_store();
+
+    /// Takes the store away for a moment and brings it back as it was at the last copy.
+    void restore_store();
+
     /// Writes or removes a backend's row in the directory.
     void list_backend(
         int index, std::string const& server_state = "ready", std::string const& version = "v1",
@@ -91,6 +100,7 @@
     gateway_deployment_plan plan_;
     std::string folder_;
     int version_ = 0;
+    json configuration_; ///< last written
     std::uint16_t proxied_port(std::uint16_t port);
 
     std::unique_ptr<process> store_;
--- a/tools/standins/http_standin.cpp
+++ b/tools/standins/http_standin.cpp
@@ -79,17 +79,20 @@
     return 0;
 }
 
-net::awaitable<bool> send_json(standin_connection& to, int status, json const& body)
+net::awaitable<bool> send_json(
+    standin_connection& to, int status, json const& body, response_headers headers)
 {
     transport::caller_response response;
+    response.headers = std::move(headers);
     response.status = status;
     response.body = protocol::dump(body);
     co_return co_await to.writer.send(std::move(response));
 }
 
-net::awaitable<bool> send_status(standin_connection& to, int status)
+net::awaitable<bool> send_status(standin_connection& to, int status, response_headers headers)
 {
     transport::caller_response response;
+    response.headers = std::move(headers);
     response.status = status;
     response.content_type = "text/plain";
     co_return co_await to.writer.send(std::move(response));
--- a/tools/standins/http_standin.hpp
+++ b/tools/standins/http_standin.hpp
@@ -18,6 +18,7 @@
 namespace http = boost::beast::http;
 using tcp = boost::asio::ip::tcp;
 using nlohmann::json;
+using response_headers = decltype(transport::caller_response::headers);
 
 /// A request to a stand-in.
 struct standin_request
@@ -58,11 +59,12 @@
 
 /// Sends a response with a JSON body.
 /// @return false when the response could not be written
-net::awaitable<bool> send_json(standin_connection& to, int status, json const& body);
+net::awaitable<bool> send_json(
+    standin_connection& to, int status, json const& body, response_headers headers = {});
 
 /// Sends a response without a body.
 /// @return false when the response could not be written
-net::awaitable<bool> send_status(standin_connection& to, int status);
+net::awaitable<bool> send_status(standin_connection& to, int status, response_headers headers = {});
 
 } // namespace auburnweir::standins
 
--- a/tools/standins/metadata_store.cpp
+++ b/tools/standins/metadata_store.cpp
@@ -3,12 +3,13 @@
 #include "transport/clock.hpp"
 
 #include <map>
+#include <tuple>
 
 /// Stand-in for the platform's metadata store and its endpoints for usage reports and scaling
 /// orders.
 ///
-/// `POST /control` puts or removes rows, sets faults and drops the history; `GET /duties` lists the
-/// duty calls received.
+/// `POST /control` puts or removes rows, sets faults, drops the history, keeps a copy of the rows
+/// and returns to it in a new era; `GET /duties` lists the duty calls received.
 
 namespace
 {
@@ -115,6 +116,8 @@
         return {{"rows", json::array()}, {"ver", version_}, {"nowMs", ms.count()}};
     }
 
+    response_headers era_header() const { return {{"Store-Era", std::to_string(era_)}}; }
+
     net::awaitable<void> send_rows(
         standin_connection& connection, std::string table, std::string from, bool paged)
     {
@@ -131,7 +134,7 @@
             }
             body["rows"].push_back(encode_row(name, row));
         }
-        co_await send_json(connection, 200, body);
+        co_await send_json(connection, 200, body, era_header());
     }
 
     net::awaitable<void> read_rows(standin_request const& request, standin_connection& connection)
@@ -164,18 +167,25 @@
         auto const wait =
             std::chrono::milliseconds{std::stoll(query_parameter(request.target, "waitMs"))};
         auto const deadline = transport::now() + wait;
-        if (since < history_start_)
+        auto const era = era_;
+        bool const is_known = since >= history_start_ && since <= version_;
+        if (!is_known)
         {
-            co_await send_status(connection, 410);
+            co_await send_status(connection, 410, era_header());
             co_return;
         }
         for (;;)
         {
+            if (era_ != era)
+            {
+                connection.reset();
+                co_return;
+            }
             auto body = response_body();
             add_changes(body, table, since);
             if (!body["rows"].empty() || transport::now() >= deadline)
             {
-                co_await send_json(connection, 200, body);
+                co_await send_json(connection, 200, body, era_header());
                 co_return;
             }
             co_await transport::sleep_for(io_, feed_poll_interval);
@@ -187,7 +197,7 @@
         auto const body = protocol::parse_json(request.body);
         if (!body)
         {
-            co_await send_status(connection, 400);
+            co_await send_status(connection, 400, era_header());
             co_return;
         }
         for (auto const& condition : protocol::array_at(*body, "expectedRev"))
@@ -198,7 +208,7 @@
             auto const version = it == rows_.end() || it->second.removed ? 0 : it->second.version;
             if (version != static_cast<std::uint64_t>(protocol::integer_at(condition, "ver")))
             {
-                co_await send_json(connection, 412, response_body());
+                co_await send_json(connection, 412, response_body(), era_header());
                 co_return;
             }
         }
@@ -212,7 +222,7 @@
             connection.reset();
             co_return;
         }
-        co_await send_json(connection, 200, response_body());
+        co_await send_json(connection, 200, response_body(), era_header());
     }
 
     net::awaitable<void> record_duty_call(
@@ -250,13 +260,22 @@
             *body, "max_feed_rows", static_cast<std::int64_t>(max_feed_rows_)));
         if (protocol::flag_at(*body, "drop_history"))
             history_start_ = ++version_;
+        if (protocol::flag_at(*body, "copy"))
+            copy_ = {rows_, version_};
+        if (protocol::flag_at(*body, "restore"))
+        {
+            std::tie(rows_, version_) = copy_;
+            ++era_;
+        }
         co_await send_status(connection, 200);
     }
 
     net::io_context& io_;
     std::map<row_name, stored_row> rows_;
+    std::pair<std::map<row_name, stored_row>, std::uint64_t> copy_; ///< rows and version
     json duty_calls_ = json::array();
     std::uint64_t version_ = 1;
+    std::uint64_t era_ = 1; ///< rises with each return to a copy
     std::uint64_t history_start_ = 0;
     std::int64_t lose_answers_ = 0;
     std::int64_t delay_ms_ = 0;
