Number leases by era and version of the store; outwait leases that a copy lacks

The platform got calls of two holders under one fencing number (ONE). Cause: the lease's row named an earlier holder and number after the store came back from an older copy; the next holder counted on from it, at once, while the last one might still act. Change: a fencing number is the store's era and version at which the row was read, so numbers grow over all eras. coordination/lease_claim decides who may write a row that is older than the era: the last holder while its lease is in force, after its orders have arrived; others when a lease that the copy lacks would have ended. A write that took effect in another era than it was meant for is no lease.

--- a/src/state/store_eras.cpp
+++ b/src/state/store_eras.cpp
@@ -9,6 +9,7 @@
     if (!current_)
     {
         current_ = position.era;
+        first_seen_at_ = received_at;
         return observation::current;
     }
     if (position.era < *current_)
@@ -16,6 +17,7 @@
     if (position.era == *current_)
         return observation::current;
     current_ = position.era;
+    first_seen_at_ = received_at;
     began_at_ = received_at;
     first_version_ = position.version;
     return observation::began;
@@ -27,6 +29,12 @@
     return current_.value_or(store_era{0});
 }
 
+std::optional<time_point> store_eras::first_seen_at() const
+{
+    ranked_lock lock(mutex_);
+    return first_seen_at_;
+}
+
 std::optional<time_point> store_eras::began_at() const
 {
     ranked_lock lock(mutex_);
--- a/src/state/store_eras.hpp
+++ b/src/state/store_eras.hpp
@@ -31,6 +31,9 @@
 
     store_era current() const;
 
+    /// When this instance first saw a response of the current era; null before the first response.
+    std::optional<time_point> first_seen_at() const;
+
     /// When this instance saw the current era begin; null when it began before the process.
     std::optional<time_point> began_at() const;
 
@@ -40,6 +43,7 @@
 private:
     mutable ranked_mutex mutex_{lock_rank::store_eras};
     std::optional<store_era> current_;
+    std::optional<time_point> first_seen_at_;
     std::optional<time_point> began_at_;
     row_version first_version_; ///< of the first response of the era; later rows are written in it
 };
--- a/src/transport/duty_runner.cpp
+++ b/src/transport/duty_runner.cpp
@@ -1,10 +1,12 @@
 #include "transport/duty_runner.hpp"
 
 #include "coordination/fleet_planner.hpp"
+#include "coordination/lease_claim.hpp"
 #include "coordination/store_pacing.hpp"
 #include "protocol/duty_record_codec.hpp"
 #include "transport/async_signal.hpp"
 #include "transport/log.hpp"
+#include "transport/store_observer.hpp"
 
 namespace auburnweir::transport
 {
@@ -81,9 +83,12 @@
 
 bool duty_runner::lease_permits_calls() const
 {
-    return held_lease_ && coordination::may_send_order(
-                              held_lease_->record.lease, context_.settings.id,
-                              state::fencing_mode::ignored, context_.clock.store_latest(), lease_);
+    return held_lease_ &&
+           context_.tables.store_eras.current() ==
+               coordination::era_of(held_lease_->record.lease.fencing) &&
+           coordination::may_send_order(
+               held_lease_->record.lease, context_.settings.id, state::fencing_mode::ignored,
+               context_.clock.store_latest(), lease_);
 }
 
 void duty_runner::lose_lease(std::string_view reason)
@@ -92,6 +97,8 @@
         log(log_event::lease_lost,
             {{"fencing", std::to_string(held_lease_->record.lease.fencing.count())},
              {"why", std::string{reason}}});
+    if (held_lease_ && held_lease_->is_stored)
+        last_held_ = std::move(held_lease_->record);
     held_lease_.reset();
     placed_orders_.clear();
     peers_.step_down();
@@ -142,31 +149,41 @@
         co_return;
     }
     failed_lookups_ = 0;
-    auto const& lease_listing = listing.value();
-    context_.clock.observe(
-        lease_listing.store_time, lease_listing.requested_at, lease_listing.received_at);
+    if (!observe_store(context_, listing.value()))
+        co_return;
+    auto const& rows = listing.value().rows;
+    auto const row_version = rows.empty() ? state::row_version{} : rows.front().version;
     coordination::duty_record record;
     record.reported_through = state::window_number{current_window().count() - 1};
-    if (lease_listing.rows.empty())
+    coordination::lease_reading reading;
+    if (!rows.empty())
     {
-        co_await acquire_lease(std::move(record), state::row_version{});
-        co_return;
+        if (auto decoded = protocol::decode_duty_record(rows.front().value))
+            record = std::move(*decoded);
+        else
+            log(log_event::duty_call_failed,
+                {{"call", "read_lease"}, {"result", "unreadable_row"}});
+        reading.row = record.lease;
     }
-    auto const decoded = protocol::decode_duty_record(lease_listing.rows.front().value);
-    if (decoded)
-        record = *decoded;
-    else
+    reading.read_at = {listing.value().era, listing.value().version};
+    reading.era_age = now() - context_.tables.store_eras.first_seen_at().value_or(now());
+    if (last_held_)
+        reading.last_held = last_held_->lease;
+    auto const claim = coordination::claim_lease(
+        reading, context_.settings.id, context_.clock.store_earliest(), lease_);
+    if (auto const* of_row = std::get_if<coordination::claim_of_row>(&claim))
+        co_await acquire_lease(std::move(record), of_row->lease, row_version);
+    else if (auto const* of_copy = std::get_if<coordination::claim_of_copy>(&claim))
+        co_await acquire_lease(std::move(record), of_copy->lease, row_version);
+    else if (auto const* of_last = std::get_if<coordination::claim_of_last_holder>(&claim))
+        co_await acquire_lease(*last_held_, of_last->lease, row_version);
+    else if (reading.row && record.lease.holder != context_.settings.id)
     {
-        log(log_event::duty_call_failed, {{"call", "read_lease"}, {"result", "unreadable_row"}});
-        // Row versions grow faster than fencing numbers, so this is above any used before.
-        record.lease.fencing = state::fencing_number{lease_listing.rows.front().version.count()};
+        // A copy may name an earlier holder than the one that is known.
+        bool const is_copy = coordination::era_of(record.lease.fencing) < reading.read_at.era;
+        if (!is_copy || peers_.holder().empty())
+            follow(record);
     }
-    auto const new_lease = coordination::lease_to_write(
-        record.lease, context_.settings.id, context_.clock.store_earliest(), lease_);
-    if (new_lease)
-        co_await acquire_lease(std::move(record), lease_listing.rows.front().version);
-    else
-        follow(record);
 }
 
 void duty_runner::follow(coordination::duty_record const& record)
@@ -191,22 +208,18 @@
 }
 
 net::awaitable<void> duty_runner::acquire_lease(
-    coordination::duty_record record, state::row_version version)
+    coordination::duty_record record, state::lease_record new_lease, state::row_version version)
 {
     auto const previous_holder = record.lease.holder;
-    auto const new_lease = coordination::lease_to_write(
-        record.lease, context_.settings.id, context_.clock.store_earliest(), lease_);
-    if (!new_lease)
-        co_return;
     context_.tables.usage.merge(record.usage);
-    held_lease_ = held_lease{record, version};
-    record.lease = *new_lease;
+    held_lease_ = held_lease{record, version, false};
+    record.lease = new_lease;
     record.holder_address = context_.settings.peer_listen;
     if (!co_await save_record(std::move(record)))
         co_return;
     peers_.serve_as_holder();
     log(log_event::lease_taken,
-        {{"fencing", std::to_string(new_lease->fencing.count())},
+        {{"fencing", std::to_string(new_lease.fencing.count())},
          {"before", previous_holder.str()},
          {"reported_through", std::to_string(held_lease_->record.reported_through.count())}});
 }
@@ -223,8 +236,15 @@
     auto const result = co_await context_.ports.store.write(write, context_.settings.store_timeout);
     if (auto const* applied = std::get_if<write_applied>(&result))
     {
-        context_.clock.observe(applied->store_time, applied->requested_at, applied->received_at);
-        held_lease_ = held_lease{std::move(record), applied->version};
+        bool const same_era = observe_store(context_, *applied) &&
+                              applied->era == coordination::era_of(record.lease.fencing);
+        if (!same_era)
+        {
+            // The version that the row was expected to have is that of another row by now.
+            lose_lease("store_restored");
+            co_return false;
+        }
+        held_lease_ = held_lease{std::move(record), applied->version, true};
         renewed_at_ = now();
         next_renewal_at_ = renewed_at_;
         co_return true;
@@ -247,6 +267,12 @@
 net::awaitable<void> duty_runner::perform_duties()
 {
     auto record = held_lease_->record;
+    if (context_.tables.store_eras.current() != coordination::era_of(record.lease.fencing))
+    {
+        lose_lease("store_restored");
+        next_lookup_at_ = now();
+        co_return;
+    }
     auto const new_lease = coordination::lease_to_write(
         record.lease, context_.settings.id, context_.clock.store_latest(), lease_);
     if (!new_lease || new_lease->fencing != record.lease.fencing)
--- a/src/transport/duty_runner.hpp
+++ b/src/transport/duty_runner.hpp
@@ -24,6 +24,7 @@
     {
         coordination::duty_record record;
         state::row_version version;
+        bool is_stored = false; ///< the store has acknowledged the record
     };
 
     /// The last order that this instance placed for a fleet group.
@@ -40,7 +41,8 @@
     state::duration lookup_jitter();
     net::awaitable<void> release_lease();
     net::awaitable<void> acquire_lease(
-        coordination::duty_record record, state::row_version version);
+        coordination::duty_record record, state::lease_record new_lease,
+        state::row_version version);
     net::awaitable<void> perform_duties();
     net::awaitable<bool> save_record(coordination::duty_record record);
     net::awaitable<void> report_usage();
@@ -58,6 +60,7 @@
     peer_exchange& peers_;
     coordination::lease_settings lease_;
     std::optional<held_lease> held_lease_;
+    std::optional<coordination::duty_record> last_held_; ///< when the last lease was lost
     state::time_point started_at_{};
     state::time_point renewed_at_{};
     state::time_point next_renewal_at_{}; ///< later than `renewed_at_` after a refused renewal
--- a/tests/integration/gateway_restore_test.cpp
+++ b/tests/integration/gateway_restore_test.cpp
@@ -2,6 +2,8 @@
 #include "support/gateway_deployment.hpp"
 
 #include <gtest/gtest.h>
+#include <map>
+#include <set>
 #include <thread>
 
 namespace auburnweir::tests
@@ -21,6 +23,8 @@
     {
         gateway_deployment_plan p;
         p.gateways = gateways;
+        p.organisations =
+            json::array({{{"name", "acme"}, {"apiKeys", json::array({"key-1"})}, {"ratePerS", 0}}});
         p.settings = {{"usage_window_s", "1"}, {"watch_wait_ms", "1000"}};
         return p;
     }
@@ -28,7 +32,51 @@
     bool serves(std::string const& path, int gateway)
     {
         auto const id = "c" + std::to_string(++calls_);
-        return system.send_request(path, id, {}, gateway).status == 200;
+        return system.send_request(path, id, {{"Authorization", "Token key-1"}}, gateway).status ==
+               200;
+    }
+
+    /// Index of the gateway that holds the duties.
+    int holder()
+    {
+        int found = 0;
+        auto const holds_duties = [&](int i)
+        {
+            auto const port = system.gateway(i).port("metrics");
+            return call(port, "GET", "/status").parsed().value("holds_duties", false);
+        };
+        EXPECT_TRUE(eventually(
+            [&]
+            {
+                for (found = 0; found < gateways; ++found)
+                    if (system.gateway(found).pid() > 0 && holds_duties(found))
+                        return true;
+                return false;
+            }));
+        return found;
+    }
+
+    std::vector<json> duty_calls(std::string const& path)
+    {
+        std::vector<json> calls;
+        for (auto const& call : system.duties())
+            if (call["path"] == path)
+                calls.push_back(call);
+        return calls;
+    }
+
+    /// Sends requests to all gateways until so many more usage reports have arrived.
+    void wait_for_usage_reports(std::size_t count)
+    {
+        auto const before = duty_calls("/usage").size();
+        auto const are_reported = [&]
+        {
+            for (int i = 0; i < gateways; ++i)
+                if (system.gateway(i).pid() > 0)
+                    serves("/safe/x", i);
+            return duty_calls("/usage").size() >= before + count;
+        };
+        EXPECT_TRUE(eventually(are_reported, 15000));
     }
 
     gateway_deployment system{plan()};
@@ -53,5 +101,30 @@
         EXPECT_TRUE(eventually([&] { return serves("/added/x", i); }, configuration_bound_ms)) << i;
 }
 
+// Guards against ONE: the lease's row names an earlier holder and number, which is used again while
+// the last holder may still act.
+TEST_F(gateway_restore_test, fencing_numbers_after_store_was_restored_are_new_and_grow)
+{
+    wait_for_usage_reports(1);
+    system.copy_store();
+    system.gateway(holder()).kill();
+    wait_for_usage_reports(2);
+    system.restore_store();
+    system.gateway(holder()).kill();
+    wait_for_usage_reports(2);
+    std::map<std::uint64_t, std::set<std::string>> holders;
+    std::uint64_t last = 0;
+    for (auto const& call : duty_calls("/usage"))
+    {
+        auto const number = std::stoull(call["fencing"].get<std::string>());
+        EXPECT_GE(number, last);
+        last = number;
+        holders[number].insert(call["holder"].get<std::string>());
+    }
+    EXPECT_EQ(holders.size(), 3U);
+    for (auto const& [number, names] : holders)
+        EXPECT_EQ(names.size(), 1U) << number;
+}
+
 } // namespace
 } // namespace auburnweir::tests
