Report no usage window again that was reported before the store was restored

Cause: the last reported window was known from the lease's row alone, and the row was an older copy. Change: instances tell each other the last window whose report may have been sent (state/acknowledged_state); a holder that continues from a copy takes the highest, and waits 2 s for reports before the first window. A report is made known 0.4 s before it is sent.

--- a/src/coordination/duty_lease.hpp
+++ b/src/coordination/duty_lease.hpp
@@ -44,6 +44,9 @@
     std::uint64_t counted_instances = 0; ///< whose counts extend past that window's end
     /// All instances; more than have reported to a holder that has just taken over.
     std::uint64_t known_instances = 1;
+    /// Set for a holder that continues from an older copy of the lease's row: time since it took
+    /// the lease. The instances' reports tell it which windows were reported since the copy.
+    std::optional<state::duration> since_copy_taken{};
 };
 
 /// Wait between the end of a window and its usage report.
@@ -53,8 +56,14 @@
     state::duration min_wait = std::chrono::milliseconds{800};
     /// Limits the wait for instances that do not report.
     state::duration max_wait = std::chrono::seconds{5};
+    /// Time in which the instances' reports reach a new holder.
+    state::duration takeover_wait = std::chrono::seconds{2};
 };
 
+/// The state that continues from a copy of the lease's row that may be older than what the store
+/// has acknowledged: windows that may have been reported since are not reported again.
+duty_record without_reported(duty_record record, state::window_number reported_through);
+
 /// Whether the window after `reported_through` can be reported now.
 bool usage_is_due(usage_progress const& progress, usage_settings const& settings = {});
 
--- a/src/protocol/instance_report_codec.cpp
+++ b/src/protocol/instance_report_codec.cpp
@@ -74,10 +74,19 @@
     return update;
 }
 
+state::acknowledged_state read_acknowledged(element_reader& in)
+{
+    state::acknowledged_state acknowledged;
+    acknowledged.reported_through = state::window_number{in.integer()};
+    acknowledged.configuration = state::configuration_version{in.unsigned_integer()};
+    return acknowledged;
+}
+
 json encode_rows_status(state::operator_rows_status const& status)
 {
     return json::array(
-        {status.newest.version.count(), status.age.count(), status.newest.era.count()});
+        {status.newest.version.count(), status.age.count(), status.newest.era.count(),
+         status.acknowledged.reported_through.count(), status.acknowledged.configuration.count()});
 }
 
 state::operator_rows_status read_rows_status(json const& from)
@@ -86,9 +95,11 @@
     state::operator_rows_status status;
     status.newest.version = state::row_version{in.unsigned_integer()};
     status.age = state::duration{in.integer()};
-    // Instances of the version before name no era.
-    if (!in.at_end())
-        status.newest.era = state::store_era{in.unsigned_integer()};
+    // Instances of the version before end here.
+    if (in.at_end())
+        return status;
+    status.newest.era = state::store_era{in.unsigned_integer()};
+    status.acknowledged = read_acknowledged(in);
     return status;
 }
 
@@ -214,8 +225,9 @@
         if (report.details->requests)
             out.push_back(*report.details->requests);
     }
-    if (report.segments != state::segment_observations{})
-        out.push_back(encode_observations(report.segments));
+    out.push_back(encode_observations(report.segments));
+    out.push_back(report.acknowledged.reported_through.count());
+    out.push_back(report.acknowledged.configuration.count());
 }
 
 state::instance_report read_report(element_reader& in)
@@ -243,6 +255,8 @@
     }
     if (!in.at_end())
         report.segments = read_observations(in.array());
+    if (!in.at_end())
+        report.acknowledged = read_acknowledged(in);
     return report;
 }
 
--- a/src/state/instance_report.hpp
+++ b/src/state/instance_report.hpp
@@ -1,6 +1,7 @@
 #ifndef AUBURNWEIR_STATE_INSTANCE_REPORT_HPP
 #define AUBURNWEIR_STATE_INSTANCE_REPORT_HPP
 
+#include "state/acknowledged_state.hpp"
 #include "state/configuration.hpp"
 #include "state/directory_log.hpp"
 #include "state/ids.hpp"
@@ -58,6 +59,7 @@
     quota_uses uses;
     std::optional<instance_details> details;
     segment_observations segments;
+    acknowledged_state acknowledged;
 
     friend bool operator==(instance_report const&, instance_report const&) = default;
 };
--- a/src/state/lock_rank.hpp
+++ b/src/state/lock_rank.hpp
@@ -10,6 +10,7 @@
 enum class lock_rank : int
 {
     store_eras = 5,
+    acknowledged_state = 6,
     configuration = 10,
     admission_gate = 15,
     admission = 20,
--- a/src/state/report_response.hpp
+++ b/src/state/report_response.hpp
@@ -13,6 +13,7 @@
 {
     store_position newest; ///< of the newest row that the holder applied
     duration age{0}; ///< time since the request by which the store confirmed that none is newer
+    acknowledged_state acknowledged{}; ///< highest values that any instance has told the holder
 
     friend bool operator==(operator_rows_status const&, operator_rows_status const&) = default;
 };
--- a/src/transport/duty_runner.cpp
+++ b/src/transport/duty_runner.cpp
@@ -43,6 +43,9 @@
 /// Delay before a lease that the store refused to renew is renewed again.
 constexpr state::duration renewal_retry_delay = std::chrono::milliseconds{500};
 
+/// Time in which the responses to the others' reports carry a new value to them.
+constexpr state::duration publication_time = std::chrono::milliseconds{400};
+
 /// Time after the start in which running engines have listed themselves.
 constexpr state::duration initial_listing_time = std::chrono::seconds{5};
 
@@ -100,6 +103,7 @@
     if (held_lease_ && held_lease_->is_stored)
         last_held_ = std::move(held_lease_->record);
     held_lease_.reset();
+    copy_taken_at_.reset();
     placed_orders_.clear();
     peers_.step_down();
 }
@@ -174,7 +178,11 @@
     if (auto const* of_row = std::get_if<coordination::claim_of_row>(&claim))
         co_await acquire_lease(std::move(record), of_row->lease, row_version);
     else if (auto const* of_copy = std::get_if<coordination::claim_of_copy>(&claim))
-        co_await acquire_lease(std::move(record), of_copy->lease, row_version);
+    {
+        auto remaining = without_reported(std::move(record));
+        copy_taken_at_ = now();
+        co_await acquire_lease(std::move(remaining), of_copy->lease, row_version);
+    }
     else if (auto const* of_last = std::get_if<coordination::claim_of_last_holder>(&claim))
         co_await acquire_lease(*last_held_, of_last->lease, row_version);
     else if (reading.row && record.lease.holder != context_.settings.id)
@@ -186,6 +194,14 @@
     }
 }
 
+coordination::duty_record duty_runner::without_reported(coordination::duty_record record) const
+{
+    // The window that is still open can't have been reported, whatever another instance says.
+    auto const acknowledged = context_.tables.acknowledged.current().reported_through;
+    auto const last_ended = state::window_number{current_window().count() - 1};
+    return coordination::without_reported(std::move(record), std::min(acknowledged, last_ended));
+}
+
 void duty_runner::follow(coordination::duty_record const& record)
 {
     // The row can't change hands before the lease ends, unless its holder releases it and says so.
@@ -266,6 +282,8 @@
 
 net::awaitable<void> duty_runner::perform_duties()
 {
+    if (copy_taken_at_ && !held_lease_->record.pending)
+        held_lease_->record = without_reported(std::move(held_lease_->record));
     auto record = held_lease_->record;
     if (context_.tables.store_eras.current() != coordination::era_of(record.lease.fencing))
     {
@@ -282,6 +300,11 @@
     }
     if (record.pending && lease_permits_calls())
     {
+        context_.tables.acknowledged.merge({record.pending->window, {}});
+        // The others learn of the report before it is sent, so that they do not report the window
+        // again if the store loses the row together with this instance.
+        if (now() - usage_stored_at_ < publication_time)
+            co_return;
         co_await report_usage();
         co_return;
     }
@@ -292,6 +315,7 @@
     {
         auto const window = state::window_number{record.reported_through.count() + 1};
         record.pending = coordination::pending_usage{window, context_.tables.usage.total(window)};
+        usage_stored_at_ = now();
     }
     bool const renewal_is_due = now() - renewed_at_ >= lease_.length / renewals_per_lease;
     if (!usage_is_due && !renewal_is_due)
@@ -393,6 +417,8 @@
         [&](auto const& peer) { return peer.details.usage_complete_until >= end; });
     p.counted_instances = static_cast<std::uint64_t>(counted) + 1; // and this one
     p.known_instances = peers_.instance_count();
+    if (copy_taken_at_)
+        p.since_copy_taken = now() - *copy_taken_at_;
     return p;
 }
 
--- a/src/transport/duty_runner.hpp
+++ b/src/transport/duty_runner.hpp
@@ -37,6 +37,8 @@
 
     net::awaitable<void> run();
     net::awaitable<void> find_holder();
+    /// The record without windows that other instances know as reported.
+    coordination::duty_record without_reported(coordination::duty_record record) const;
     void follow(coordination::duty_record const& record);
     state::duration lookup_jitter();
     net::awaitable<void> release_lease();
@@ -61,6 +63,9 @@
     coordination::lease_settings lease_;
     std::optional<held_lease> held_lease_;
     std::optional<coordination::duty_record> last_held_; ///< when the last lease was lost
+    /// When the current lease was acquired, if its row was a copy older than the store's era.
+    std::optional<state::time_point> copy_taken_at_;
+    state::time_point usage_stored_at_{}; ///< when the pending usage report was made
     state::time_point started_at_{};
     state::time_point renewed_at_{};
     state::time_point next_renewal_at_{}; ///< later than `renewed_at_` after a refused renewal
--- a/src/transport/gateway_tables.hpp
+++ b/src/transport/gateway_tables.hpp
@@ -6,6 +6,7 @@
 #include "coordination/segment_quarantine.hpp"
 #include "coordination/shared_quota.hpp"
 #include "protocol/gateway_settings.hpp"
+#include "state/acknowledged_state.hpp"
 #include "state/counters.hpp"
 #include "state/directory_log.hpp"
 #include "state/instance_report_table.hpp"
@@ -63,6 +64,7 @@
     }
 
     state::store_eras store_eras;
+    state::acknowledged_state_table acknowledged;
     state::route_table routes;
     state::server_table servers;
     state::directory_log directory_log;
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -182,7 +182,9 @@
     auto const silence = now() - last_response_at_;
     if (!holder_rows_ || silence > max_silent_periods * context_.settings.report_period)
         return std::nullopt;
-    return state::operator_rows_status{holder_rows_->newest, holder_rows_->age + silence};
+    auto status = *holder_rows_;
+    status.age += silence;
+    return status;
 }
 
 std::uint64_t peer_exchange::instance_count() const
@@ -343,6 +345,7 @@
             pending_reports_.pop_front();
     }
     report.digest = context_.tables.directory_log.digest();
+    report.acknowledged = context_.tables.acknowledged.current();
     report.isolated = context_.tables.quotas.is_isolated(now());
     report.uses = context_.tables.quotas.begin_report(report.sequence, now());
     report.segments = context_.tables.segment_quarantine.begin_report(
@@ -384,6 +387,7 @@
     if (context_.tables.instance_reports.apply(report, now()))
         log(log_event::instance_appeared,
             {{"instance", writer.id.str()}, {"life", std::to_string(writer.incarnation.count())}});
+    context_.tables.acknowledged.merge(report.acknowledged);
     links_.reply(via, response_to(report));
 }
 
@@ -401,7 +405,8 @@
     add_directory(response, report);
     if (context_.tables.routes.current())
         response.operator_rows = {
-            context_.tables.routes.newest(), context_.tables.routes.age(now())};
+            context_.tables.routes.newest(), context_.tables.routes.age(now()),
+            context_.tables.acknowledged.current()};
     std::lock_guard lock(mutex_);
     response.holds_lease = holder_has_lease_;
     response.instance_count = known_instances_;
@@ -482,6 +487,8 @@
         directory_.discard_holder_update();
     if (response.directory && reported_at)
         apply_directory_update(response.holder, *response.directory, *reported_at);
+    if (response.operator_rows)
+        context_.tables.acknowledged.merge(response.operator_rows->acknowledged);
     if (response.operator_rows && reported_at)
         confirm_configuration(*response.operator_rows, *reported_at);
     context_.clock.apply_agreed_offset(response.wall_offset);
--- a/tests/property/parser_property_test.cpp
+++ b/tests/property/parser_property_test.cpp
@@ -47,6 +47,13 @@
     return *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
 }
 
+state::acknowledged_state arbitrary_acknowledged()
+{
+    return {
+        state::window_number{*rc::gen::arbitrary<std::int64_t>()},
+        state::configuration_version{*rc::gen::arbitrary<std::uint64_t>()}};
+}
+
 state::instance_report arbitrary_report()
 {
     state::instance_report report;
@@ -65,6 +72,7 @@
         segments.verdicts.push_back({segment, 3, i % 2 == 0, state::duration{i}});
     }
     segments.digest = state::verdicts_digest{*rc::gen::arbitrary<std::uint64_t>()};
+    report.acknowledged = arbitrary_acknowledged();
     return report;
 }
 
@@ -73,6 +81,11 @@
     state::report_response response;
     if (*rc::gen::arbitrary<bool>())
         response.wall_offset = std::chrono::milliseconds{-5};
+    if (*rc::gen::arbitrary<bool>())
+        response.operator_rows = {
+            {state::store_era{*rc::gen::arbitrary<std::uint64_t>()}, state::row_version{70}},
+            state::duration{5},
+            arbitrary_acknowledged()};
     auto& segments = response.segments;
     segments.suspects.assign(
         *rc::gen::inRange<std::size_t>(0, 5),
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -286,5 +286,48 @@
         EXPECT_LE(planned(ready, domain, false), 6);
 }
 
+/// A holder of the duties that continues from a copy of the lease's row.
+class copied_duty_record_test : public testing::Test
+{
+protected:
+    copied_duty_record_test()
+    {
+        record.reported_through = state::window_number{10};
+        record.pending = pending_usage{state::window_number{11}, {}};
+    }
+
+    duty_record record;
+};
+
+// Guards against ONE: windows that were reported since the copy are reported again.
+TEST_F(copied_duty_record_test, without_reported_skips_windows_and_pending_reports_up_to_it)
+{
+    auto const rest = without_reported(record, state::window_number{12});
+    EXPECT_EQ(rest.reported_through, state::window_number{12});
+    EXPECT_FALSE(rest.pending);
+}
+
+TEST_F(copied_duty_record_test, without_reported_keeps_a_later_pending_report)
+{
+    EXPECT_EQ(without_reported(record, state::window_number{10}), record);
+    EXPECT_EQ(without_reported(record, state::window_number{3}), record);
+}
+
+TEST_F(copied_duty_record_test, usage_is_not_due_before_the_instances_could_tell_of_reports)
+{
+    usage_progress progress;
+    progress.reported_through = state::window_number{10};
+    progress.current = state::window_number{14};
+    progress.since_end = 15s;
+    progress.known_instances = 3;
+    progress.since_copy_taken = 1s;
+    EXPECT_FALSE(usage_is_due(progress));
+    progress.since_copy_taken = usage_settings{}.takeover_wait;
+    EXPECT_TRUE(usage_is_due(progress));
+    progress.since_copy_taken = 1s;
+    progress.counted_instances = 3;
+    EXPECT_TRUE(usage_is_due(progress));
+}
+
 } // namespace
 } // namespace auburnweir::coordination
