Confirm no configuration by an older copy of it

A gateway that started after the store came back from an older copy accepted a key that had been withdrawn (CONFIG). Cause: a read of the store counted as proof that nothing newer exists, also when the store listed an older configuration than it had acknowledged. Change: instances tell each other the highest configuration that was in force; a read confirms only when the store lists at least that one again, or after 30 s. One that starts in a later era hears of it first, for 4 s at most. Unconfirmed reads are paced.

--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -187,6 +187,12 @@
     return status;
 }
 
+bool peer_exchange::has_heard_of_holder() const
+{
+    std::lock_guard lock(mutex_);
+    return holder_rows_.has_value() || holder_.id == context_.settings.id;
+}
+
 std::uint64_t peer_exchange::instance_count() const
 {
     std::lock_guard lock(mutex_);
@@ -449,7 +455,10 @@
 {
     // The holder created the response after the report was sent, so its confirmation is at least
     // this recent.
-    if (holder_rows.newest <= context_.tables.routes.newest())
+    auto const active = context_.tables.routes.current();
+    bool const lacks_configuration =
+        !active || active->version() < context_.tables.acknowledged.current().configuration;
+    if (holder_rows.newest <= context_.tables.routes.newest() && !lacks_configuration)
         context_.tables.routes.confirm(reported_at - holder_rows.age);
 }
 
--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -53,6 +53,9 @@
     /// not responded lately.
     std::optional<state::operator_rows_status> holder_rows() const;
 
+    /// Whether a holder has responded, or this instance is the holder.
+    bool has_heard_of_holder() const;
+
     /// Known number of instances, including this one; 0 when it is not known yet.
     std::uint64_t instance_count() const;
 
--- a/src/transport/store_watch.cpp
+++ b/src/transport/store_watch.cpp
@@ -28,6 +28,17 @@
 /// responses reach them before they ask the store.
 constexpr double holder_age_share = 0.6;
 
+/// The era of a store that has never come back from an older copy.
+constexpr state::store_era first_store_era{1};
+
+/// Time in which an instance that has started hears from the others which configuration the store
+/// has acknowledged.
+constexpr state::duration peer_wait = std::chrono::seconds{4};
+
+/// Time after which operators that have not written a lost configuration again are taken to leave
+/// it at what the store lists.
+constexpr state::duration rewrite_timeout = std::chrono::seconds{30};
+
 /// Interval between checks of the configuration's age and of the holder's directory updates.
 constexpr state::duration check_interval = std::chrono::milliseconds{200};
 
@@ -66,6 +77,7 @@
 
 void store_watch::start()
 {
+    started_at_ = now();
     net::co_spawn(io_, watch_configuration(), net::detached);
     net::co_spawn(io_, confirm_configuration(), net::detached);
     net::co_spawn(io_, watch_directory(), net::detached);
@@ -113,7 +125,9 @@
         }
         backoff = {};
         apply_operator_reading(reading.value());
-        if (holder_answers)
+        if (context_.tables.routes.age(now()) >= confirmation_age())
+            co_await sleep_for(io_, max_retry_delay());
+        else if (holder_answers)
             co_await sleep_for(io_, check_interval);
     }
 }
@@ -123,8 +137,10 @@
 bool store_watch::holder_watches_rows() const
 {
     auto const rows = peers_.holder_rows();
+    bool const lacks_configuration =
+        listed_configuration_ < context_.tables.acknowledged.current().configuration;
     return routes_were_read_ && rows && rows->age < confirmation_age() &&
-           rows->newest <= context_.tables.routes.newest();
+           rows->newest <= context_.tables.routes.newest() && !lacks_configuration;
 }
 
 state::duration store_watch::directory_period() const
@@ -186,13 +202,30 @@
 
 void store_watch::apply_operator_reading(table_reading const& reading)
 {
+    if (reading.is_whole_table)
+        listed_configuration_ = {};
     apply_operator_rows(reading.listing);
     operator_rows_.record_applied(reading);
-    if (routes_were_read_)
+    if (routes_were_read_ && is_up_to_date(reading.listing))
         context_.tables.routes.confirm(reading.listing.requested_at);
     record_reachability(configuration_reachable_, "configuration", std::nullopt);
 }
 
+bool store_watch::is_up_to_date(row_listing const& listing)
+{
+    bool const may_be_copy = listing.era > first_store_era;
+    auto const since_start = listing.requested_at - started_at_;
+    if (may_be_copy && !peers_.has_heard_of_holder() && since_start < peer_wait)
+        return false;
+    if (listed_configuration_ >= context_.tables.acknowledged.current().configuration)
+    {
+        outdated_since_.reset();
+        return true;
+    }
+    outdated_since_ = outdated_since_.value_or(listing.requested_at);
+    return listing.requested_at - *outdated_since_ >= rewrite_timeout;
+}
+
 void store_watch::apply_operator_rows(row_listing const& listing)
 {
     auto const& format = context_.ports.format;
@@ -227,6 +260,8 @@
     if (!routes)
         return;
     auto const version = routes->version();
+    listed_configuration_ = version;
+    context_.tables.acknowledged.merge({{}, version});
     auto const count = routes->route_count();
     auto const organisations = routes->organisations().size();
     routes_were_read_ = true;
--- a/src/transport/store_watch.hpp
+++ b/src/transport/store_watch.hpp
@@ -24,6 +24,9 @@
     net::awaitable<void> confirm_configuration();
     void apply_operator_reading(table_reading const& reading);
     net::awaitable<void> watch_directory();
+    /// Whether the operator's rows that were read are known to be no older than what the store has
+    /// acknowledged: an older copy of them confirms nothing.
+    bool is_up_to_date(row_listing const& listing);
     void apply_operator_rows(row_listing const& listing);
     void apply_rollout(requested_rollout const& rollout);
     void apply_configuration(std::string const& text);
@@ -40,6 +43,9 @@
     net::io_context& io_;
     table_reader operator_rows_;
     table_reader directory_rows_;
+    state::configuration_version listed_configuration_; ///< of the operator's row, as last read
+    std::optional<state::time_point> outdated_since_;   ///< the row is older than acknowledged
+    state::time_point started_at_{};
     bool watch_is_pending_ = false; ///< a long poll of the operator rows is in progress
     bool routes_were_read_ = false;
     bool servers_were_read_ = false;
--- a/tests/integration/gateway_restore_test.cpp
+++ b/tests/integration/gateway_restore_test.cpp
@@ -81,7 +81,6 @@
 
     gateway_deployment system{plan()};
 
-private:
     int calls_ = 0;
 };
 
@@ -101,6 +100,32 @@
         EXPECT_TRUE(eventually([&] { return serves("/added/x", i); }, configuration_bound_ms)) << i;
 }
 
+// Guards against CONFIG: a gateway that starts on the copy accepts a key that was withdrawn.
+TEST_F(gateway_restore_test, key_withdrawn_before_store_was_restored_is_refused_by_started_gateway)
+{
+    constexpr int started = 1;
+    system.copy_store();
+    system.configure([](json& c) { c["tenants"][0]["apiKeys"] = json::array({"key-2"}); });
+    EXPECT_TRUE(eventually([&] { return !serves("/safe/x", 0) && !serves("/safe/x", started); }));
+    system.restore_store();
+    system.gateway(started).kill();
+    system.start_gateway(started);
+    for (int i = 0; i < 100; ++i)
+    {
+        EXPECT_FALSE(serves("/safe/x", started));
+        std::this_thread::sleep_for(std::chrono::milliseconds{50});
+    }
+    system.rewrite_configuration();
+    auto const with_new_key = [&]
+    {
+        header_list const headers{{"Authorization", "Token key-2"}};
+        auto const id = "n" + std::to_string(++calls_);
+        return system.send_request("/safe/x", id, headers, started).status;
+    };
+    EXPECT_TRUE(eventually([&] { return with_new_key() == 200; }));
+    EXPECT_FALSE(serves("/safe/x", started));
+}
+
 // Guards against ONE: the lease's row names an earlier holder and number, which is used again while
 // the last holder may still act.
 TEST_F(gateway_restore_test, fencing_numbers_after_store_was_restored_are_new_and_grow)
