Hold back directory rows of a copy that may list servers that have left

Requests reached a server that had left before the store came back from an older copy, which listed it again (DRAIN). Cause: a row of the directory was taken for the server's present state, and draining was forgotten with the row. Change: rows that may be part of the copy and list a server or incarnation that this gateway does not know are not applied until the store has removed those that nobody renews (5 s), or until they are written again; draining in the directory is final for an incarnation; servers that the copy lacks stay for the time of a store error.

--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -92,6 +92,7 @@
         "backends_said_leaving",
         "backend_return_times_named",
         "store_restores_seen",
+        "directory_rows_held_back",
     };
 
 } // namespace
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -107,7 +107,8 @@
     malformed_statements,
     backends_said_leaving,
     backend_return_times_named,
-    store_restores_seen, ///< eras of the store that began while this process ran
+    store_restores_seen,      ///< eras of the store that began while this process ran
+    directory_rows_held_back, ///< in each reading, rows of a copy that may list gone servers
     count_
 };
 
--- a/src/state/server_table.cpp
+++ b/src/state/server_table.cpp
@@ -29,7 +29,9 @@
     }
     e.view.missing_until.reset();
     e.view.listed = listed;
-    bool const leaves = listed.draining || has_said_leaving(listed);
+    if (listed.draining)
+        record_departure(listed.id, listed.incarnation, now);
+    bool const leaves = has_said_leaving(listed);
     bool const newly_leaving = leaves && !e.leaving;
     e.leaving = e.leaving || leaves;
     if (newly_leaving)
@@ -89,6 +91,17 @@
     backend_id const& id, incarnation_number incarnation, time_point now)
 {
     ranked_lock lock(mutex_);
+    if (!record_departure(id, incarnation, now))
+        return false;
+    auto const it = entries_.find(id);
+    if (it != entries_.end() && has_said_leaving(it->second.view.listed))
+        it->second.leaving = true;
+    return true;
+}
+
+bool server_table::record_departure(
+    backend_id const& id, incarnation_number incarnation, time_point now)
+{
     auto const known = departures_.find(id);
     bool const is_new = known == departures_.end() || known->second.incarnation < incarnation;
     if (!is_new)
@@ -97,9 +110,6 @@
         departures_.erase(std::ranges::min_element(
             departures_, {}, [](auto const& entry) { return entry.second.at; }));
     departures_[id] = {incarnation, now};
-    auto const it = entries_.find(id);
-    if (it != entries_.end() && has_said_leaving(it->second.view.listed))
-        it->second.leaving = true;
     return true;
 }
 
--- a/src/state/server_table.hpp
+++ b/src/state/server_table.hpp
@@ -165,7 +165,7 @@
         bool leaving = false;
     };
 
-    /// An incarnation that said that it leaves.
+    /// An incarnation that said that it leaves, in an answer or in the directory.
     struct departure
     {
         incarnation_number incarnation;
@@ -173,6 +173,8 @@
     };
 
     static bool is_expired(entry const& e, time_point now);
+    /// @return true when it was not recorded before
+    bool record_departure(backend_id const& id, incarnation_number incarnation, time_point now);
     bool has_said_leaving(listed_server const& listed) const;
 
     server_availability availability_of(entry const& e, time_point now) const;
--- a/src/transport/directory_sync.cpp
+++ b/src/transport/directory_sync.cpp
@@ -12,6 +12,10 @@
 /// unavailable list themselves again.
 constexpr state::duration relisting_timeout = std::chrono::milliseconds{2300};
 
+/// Time in which the store removes the rows of servers that no longer renew them, after it came
+/// back from an older copy.
+constexpr state::duration unrenewed_row_lifetime = std::chrono::seconds{5};
+
 /// Updates of the holder that are older than this share of the bound for leaving servers do not
 /// replace reads of the store.
 constexpr double max_holder_update_share = 0.45;
@@ -24,15 +28,26 @@
     if (listing.requested_at < holder_update_at_)
         return false;
     own_read_at_ = listing.requested_at;
+    // Servers that registered after the copy was made list themselves again.
+    if (std::exchange(era_, listing.era).value_or(listing.era) != listing.era)
+        store_failed_at_ = now();
+    if (is_full_listing)
+        copied_rows_.clear();
     std::set<state::backend_id> listed;
     for (auto const& row : listing.rows)
     {
+        state::backend_id const id{row.key};
+        copied_rows_.erase(id);
         if (row.removed)
-            remove_server(state::backend_id{row.key});
+            remove_server(id);
+        else if (may_list_gone_server(row))
+            copied_rows_.emplace(id, row);
         else
             apply_row(row);
-        listed.insert(state::backend_id{row.key});
+        listed.insert(id);
     }
+    context_.tables.counters.increment(
+        state::event_counter::directory_rows_held_back, copied_rows_.size());
     if (is_full_listing)
         remove_unlisted(listed);
     context_.tables.directory_log.confirm(listing.requested_at);
@@ -46,6 +61,7 @@
     if (has_changes && read_at < own_read_at_)
         return false;
     holder_update_at_ = std::max(holder_update_at_, read_at);
+    copied_rows_.clear();
     std::set<state::backend_id> listed;
     for (auto const& server : update.listed)
     {
@@ -80,6 +96,9 @@
 void directory_sync::expire()
 {
     std::lock_guard lock(mutex_);
+    if (!copied_rows_.empty() && !copies_may_list_gone_servers())
+        for (auto const& [id, row] : std::exchange(copied_rows_, {}))
+            apply_row(row);
     for (auto const& expired : context_.tables.servers.expire_missing(now()))
     {
         context_.tables.directory_log.record_removed(expired);
@@ -87,6 +106,22 @@
     }
 }
 
+bool directory_sync::copies_may_list_gone_servers() const
+{
+    auto const began_at = context_.tables.store_eras.began_at();
+    return began_at && now() - *began_at < unrenewed_row_lifetime;
+}
+
+bool directory_sync::may_list_gone_server(stored_row const& row) const
+{
+    bool const may_be_copied = context_.tables.store_eras.may_be_copied(row.version);
+    if (!may_be_copied || !copies_may_list_gone_servers())
+        return false;
+    auto const listed = context_.ports.format.server(row.key, row.value);
+    auto const known = context_.tables.servers.view(state::backend_id{row.key});
+    return listed && !(known && known->listed.incarnation == listed->incarnation);
+}
+
 void directory_sync::apply_row(stored_row const& row)
 {
     auto const listed = context_.ports.format.server(row.key, row.value);
--- a/src/transport/directory_sync.hpp
+++ b/src/transport/directory_sync.hpp
@@ -3,7 +3,9 @@
 
 #include "transport/gateway_context.hpp"
 
+#include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 
 namespace auburnweir::transport
@@ -47,6 +49,11 @@
     bool holder_updates_are_fresh() const;
 
 private:
+    /// Whether rows of the copy that the store came back from may list servers that have left
+    /// since.
+    bool copies_may_list_gone_servers() const;
+    /// Whether a row may be such a copy and lists a server that this instance does not know.
+    bool may_list_gone_server(stored_row const& row) const;
     void apply_row(stored_row const& row);
     void apply_server(state::listed_server const& listed);
     void remove_server(state::backend_id const& id);
@@ -54,6 +61,9 @@
 
     gateway_context& context_;
     mutable std::mutex mutex_;
+    std::optional<state::store_era> era_; ///< of the last listing
+    /// Rows that are not applied until the store has had time to remove those of gone servers.
+    std::map<state::backend_id, stored_row> copied_rows_;
     state::time_point store_failed_at_{};
     state::time_point holder_update_at_{}; ///< when the holder read what was last applied from it
     state::time_point own_read_at_{};      ///< when this instance requested what it last applied
--- a/tests/integration/gateway_restore_test.cpp
+++ b/tests/integration/gateway_restore_test.cpp
@@ -126,6 +126,32 @@
     EXPECT_FALSE(serves("/safe/x", started));
 }
 
+// Guards against DRAIN: a server that has left is listed again by the copy and gets requests.
+TEST_F(gateway_restore_test, server_that_left_before_store_was_restored_gets_no_requests)
+{
+    constexpr int left = 0;
+    system.copy_store();
+    system.remove_backend(left);
+    std::this_thread::sleep_for(std::chrono::milliseconds{2500});
+    auto const runs = [&] { return call(system.backend(left).port(), "GET", "/runs").body; };
+    auto const runs_before = runs();
+    system.restore_store();
+    for (int i = 0; i < 150; ++i)
+    {
+        EXPECT_TRUE(serves("/safe/x", i % gateways));
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+    }
+    EXPECT_EQ(runs(), runs_before);
+    constexpr std::int64_t next_incarnation = 2000;
+    system.list_backend(left, "ready", "v1", next_incarnation);
+    EXPECT_TRUE(eventually(
+        [&]
+        {
+            serves("/safe/x", 0);
+            return runs() != runs_before;
+        }));
+}
+
 // Guards against ONE: the lease's row names an earlier holder and number, which is used again while
 // the last holder may still act.
 TEST_F(gateway_restore_test, fencing_numbers_after_store_was_restored_are_new_and_grow)
