--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -69,6 +69,10 @@
     };
 
     net::awaitable<void> register_and_count_instances();
+    /// Writes this instance's row; tries until the store has acknowledged it.
+    net::awaitable<void> register_instance();
+    /// Registers this instance once more when the store may have lost its row.
+    void renew_registration();
     void tick();
     void report_if_urgent();
     void apply_shares(
@@ -108,6 +112,8 @@
         state::time_point at{};
     };
 
+    std::optional<state::store_era> registered_in_; ///< null while a registration is under way
+
     mutable std::mutex mutex_;
     state::instance holder_; ///< may be this instance; empty when none is known
     state::time_point last_response_at_{};
--- a/tests/integration/gateway_restore_test.cpp
+++ b/tests/integration/gateway_restore_test.cpp
@@ -152,6 +152,25 @@
         }));
 }
 
+// Guards against QUOTA: a started gateway counts too few instances and takes too much of the
+// limits.
+TEST_F(gateway_restore_test, rows_of_instances_that_the_store_lost_are_written_again)
+{
+    json const lost = json::array(
+        {{{"table", "auburnweir-instances"}, {"key", "gateway-1"}},
+         {{"table", "auburnweir-instances"}, {"key", "gateway-2"}}});
+    gateway_deployment::control(system.store(), {{"remove", lost}});
+    system.copy_store();
+    system.restore_store();
+    auto const registered = [&]
+    {
+        auto const rows =
+            call(system.store().port(), "GET", "/rows?table=auburnweir-instances").parsed()["rows"];
+        return rows.size() == static_cast<std::size_t>(gateways);
+    };
+    EXPECT_TRUE(eventually(registered));
+}
+
 // Guards against ONE: the lease's row names an earlier holder and number, which is used again while
 // the last holder may still act.
 TEST_F(gateway_restore_test, fencing_numbers_after_store_was_restored_are_new_and_grow)
