Keep a rollout's target that the store's copy does not know

A version that is withheld got requests after the store came back from an older copy (EXPOSURE); found by looking for the cause of CONFIG elsewhere. Cause: an older rollout request in the copy replaced a later one. Change: a row that may be part of the copy sets a target only for a service without one. Measured: gateway_restore_test.rollout_request_of_copy_does_not_replace_a_later_one failed without the change, passes with it.

--- a/src/state/rollout_table.hpp
+++ b/src/state/rollout_table.hpp
@@ -28,6 +28,13 @@
         return changed;
     }
 
+    /// Whether a rollout of the service was ordered.
+    bool has_target(service_id const& service) const
+    {
+        ranked_lock lock(mutex_);
+        return targets_.contains(service);
+    }
+
     /// Removes servers of the service's target version, unless all servers have it.
     void exclude_target(service_id const& service, std::vector<server_view>& servers) const
     {
--- a/src/transport/store_watch.cpp
+++ b/src/transport/store_watch.cpp
@@ -238,13 +238,16 @@
         if (row.key == format.configuration_key())
             apply_configuration(row.value);
         else if (auto const rollout = format.rollout_request(row.key, row.value))
-            apply_rollout(*rollout);
+            apply_rollout(*rollout, context_.tables.store_eras.may_be_copied(row.version));
     }
     context_.tables.routes.mark_applied_through({listing.era, newest});
 }
 
-void store_watch::apply_rollout(requested_rollout const& rollout)
+void store_watch::apply_rollout(requested_rollout const& rollout, bool may_be_copied)
 {
+    bool const may_be_older = may_be_copied && context_.tables.rollouts.has_target(rollout.service);
+    if (may_be_older)
+        return;
     if (context_.tables.rollouts.set_target(rollout.service, rollout.target))
         log(log_event::version_withheld,
             {{"service", rollout.service.str()}, {"version", rollout.target.str()}});
--- a/tests/integration/gateway_restore_test.cpp
+++ b/tests/integration/gateway_restore_test.cpp
@@ -171,6 +171,33 @@
     EXPECT_TRUE(eventually(registered));
 }
 
+// Guards against EXPOSURE: the target of a lost rollout request gets requests again.
+TEST_F(gateway_restore_test, rollout_request_of_copy_does_not_replace_a_later_one)
+{
+    auto const request_rollout = [&](std::string const& target)
+    {
+        json const request{{"service", "desk"}, {"target", target}, {"durationS", 30}};
+        json const row{{"table", "op"}, {"key", "rollout/desk"}, {"value", request.dump()}};
+        gateway_deployment::control(system.store(), {{"put", json::array({row})}});
+    };
+    auto const runs = [&] { return call(system.backend(1).port(), "GET", "/runs").body; };
+    request_rollout("v1.5");
+    system.copy_store();
+    request_rollout("v2");
+    system.list_backend(1, "ready", "v2", 2000);
+    std::this_thread::sleep_for(std::chrono::milliseconds{1500});
+    system.restore_store();
+    std::this_thread::sleep_for(std::chrono::milliseconds{500});
+    system.list_backend(1, "ready", "v2", 2000);
+    auto const runs_before = runs();
+    for (int i = 0; i < 150; ++i)
+    {
+        EXPECT_TRUE(serves("/safe/x", i % gateways));
+        std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    }
+    EXPECT_EQ(runs(), runs_before);
+}
+
 // Guards against ONE: the lease's row names an earlier holder and number, which is used again while
 // the last holder may still act.
 TEST_F(gateway_restore_test, fencing_numbers_after_store_was_restored_are_new_and_grow)
