Quarantine requests that crash servers each time they come again

Cause: crashes were related by the prompt segments that different requests share; a request's own segment, its path, caller and body had no part in the evidence, so repeats looked unrelated. Change: the fingerprint of caller, path and body counts as a segment that repeats share; answers to plain requests are remembered (1,024), so that they clear bystanders. Refusals are counted as request_quarantined.

--- a/src/coordination/segment_quarantine.cpp
+++ b/src/coordination/segment_quarantine.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t max_segments = 4096; ///< with evidence
 constexpr std::size_t max_crashes_per_segment = 16;
 constexpr std::size_t max_verdicts = 64;
+constexpr std::size_t max_answered_requests = 1024; ///< without evidence, the newest
 constexpr std::size_t max_servers_with_losses = 256;
 constexpr std::size_t max_segments_per_loss = 256;
 constexpr std::size_t max_outgoing = 256; ///< observations of each kind
@@ -122,12 +123,20 @@
 }
 
 std::vector<verdict_change> segment_quarantine::record_answer(
-    state::segment_hashes const& segments, time_point now)
+    state::forwarded_request const& request, time_point now)
 {
     state::ranked_lock lock(mutex_);
     std::vector<verdict_change> changes;
-    for (auto const& segment : segments)
+    for (auto const& segment : evidence_hashes(request))
     {
+        // Most requests are answered once and never repeated.
+        bool const is_plain_request = segment == request.fingerprint &&
+                                      !evidence_.contains(segment) && !verdicts_.contains(segment);
+        if (is_plain_request)
+        {
+            remember_answered_request(segment, now);
+            continue;
+        }
         bool const was_quarantined = is_quarantined(segment, now);
         if (auto const change = add_answer(segment, now, now))
             changes.push_back(*change);
@@ -150,6 +159,9 @@
             return quarantined_segment{
                 request.segments[i].id, verdicts_.at(segment).at + settings_.quarantine - now};
     }
+    if (is_quarantined(request.fingerprint, now))
+        return quarantined_segment{
+            {}, verdicts_.at(request.fingerprint).at + settings_.quarantine - now};
     return std::nullopt;
 }
 
@@ -237,8 +249,11 @@
     auto changes = merge_verdicts(response.verdicts, now);
     verdicts_requested_ = response.digest != digest();
     for (auto const& segment : response.suspects)
+    {
+        recall_answer(segment);
         if (auto const e = evidence_.find(segment); e != evidence_.end())
             queue_answer(segment, e->second);
+    }
     return changes;
 }
 
@@ -257,9 +272,30 @@
     return all;
 }
 
+void segment_quarantine::remember_answered_request(segment_hash fingerprint, time_point now)
+{
+    if (!answered_requests_.insert_or_assign(fingerprint, now).second)
+        return;
+    answered_order_.push_back(fingerprint);
+    if (answered_order_.size() <= max_answered_requests)
+        return;
+    answered_requests_.erase(answered_order_.front());
+    answered_order_.pop_front();
+}
+
+void segment_quarantine::recall_answer(segment_hash fingerprint)
+{
+    auto const answered = answered_requests_.find(fingerprint);
+    if (answered == answered_requests_.end())
+        return;
+    auto& answered_at = evidence_of(fingerprint).answered_at;
+    answered_at = std::max(answered_at.value_or(answered->second), answered->second);
+}
+
 void segment_quarantine::add_crash(
     segment_hash segment, server_process_hash server, time_point at, time_point now)
 {
+    recall_answer(segment);
     auto& e = evidence_of(segment);
     bool const is_old = (e.answered_at && *e.answered_at >= at) || now - at > settings_.memory;
     if (is_old || e.crashes.size() >= max_crashes_per_segment)
@@ -448,16 +484,24 @@
     std::erase_if(outgoing_answers_, is_old);
 }
 
-state::segment_hashes shared_segment_hashes(state::forwarded_request const& request)
+state::segment_hashes evidence_hashes(state::forwarded_request const& request)
 {
     state::segment_hashes hashes;
     std::size_t const shared = request.segments.empty() ? 0 : request.segments.size() - 1;
     std::size_t const first = shared > max_shared_segments ? shared - max_shared_segments : 0;
     for (std::size_t i = first; i < shared; ++i)
         hashes.push_back(hash_of_segment(request.segments[i].id));
+    if (request.fingerprint != segment_hash{0})
+        hashes.push_back(request.fingerprint);
     return hashes;
 }
 
+segment_hash fingerprint_of(
+    std::string_view caller_key, std::string_view target, std::string_view body)
+{
+    return segment_hash{hash_of(body, hash_of(target, hash_of(caller_key)))};
+}
+
 segment_hash hash_of_segment(std::string_view id)
 {
     return segment_hash{hash_of(id)};
--- a/src/coordination/segment_quarantine.hpp
+++ b/src/coordination/segment_quarantine.hpp
@@ -5,6 +5,7 @@
 #include "state/lock_rank.hpp"
 #include "state/segment_evidence.hpp"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -30,10 +31,10 @@
     state::duration quarantine = std::chrono::minutes{10};
 };
 
-/// A request has a segment whose requests crash servers.
+/// A request has a segment whose requests crash servers, or is a repeat of one that does.
 struct quarantined_segment
 {
-    std::string id;
+    std::string id; ///< empty for a repeat of a request
     state::duration remaining{0};
 };
 
@@ -50,10 +51,11 @@
 /// that all instances saw.
 ///
 /// Answers the pattern in which requests that share one segment end each server that begins to
-/// answer them: each instance sees few of them and many bystanders. A segment is the cause when
-/// several processes ended under its requests, one after the other, and none was answered since. Of
-/// the segments that explain the same crashes only those with the most are chosen, and the crashes
-/// that they explain count for no other segment.
+/// answer them: each instance sees few of them and many bystanders. The fingerprint of a request
+/// counts as a segment that its repeats share. A segment is the cause when several processes ended
+/// under its requests, one after the other, and none was answered since. Of the segments that
+/// explain the same crashes only those with the most are chosen, and the crashes that they explain
+/// count for no other segment.
 ///
 /// Each instance records what it sees; the holder of the duties merges the reports and decides, and
 /// its responses carry the verdicts. An answer with a quarantined segment releases it. All tables
@@ -80,9 +82,9 @@
     /// Forgets the losses at a server process that is still there.
     void dismiss_losses(state::server_process_hash server);
 
-    /// Records that a request with these segments was answered.
+    /// Records that a request was answered.
     std::vector<verdict_change> record_answer(
-        state::segment_hashes const& segments, state::time_point now);
+        state::forwarded_request const& request, state::time_point now);
 
     /// The quarantined segment of a request; null when it has none.
     std::optional<quarantined_segment> find(
@@ -148,6 +150,10 @@
         bool acknowledged = false;
     };
 
+    /// Remembers the answer to a request that no evidence is about yet.
+    void remember_answered_request(state::segment_hash fingerprint, state::time_point now);
+    /// Adds the answer that was remembered for a request before there was evidence on it.
+    void recall_answer(state::segment_hash fingerprint);
     void add_crash(
         state::segment_hash segment, state::server_process_hash server, state::time_point at,
         state::time_point now);
@@ -174,13 +180,19 @@
     std::map<state::server_process_hash, losses> losses_;
     std::map<state::segment_hash, evidence> evidence_;
     std::map<state::segment_hash, verdict> verdicts_;
+    std::map<state::segment_hash, state::time_point> answered_requests_;
+    std::deque<state::segment_hash> answered_order_; ///< of `answered_requests_`, the oldest first
     std::vector<outgoing<state::segment_crash>> outgoing_crashes_;
     std::vector<outgoing<state::segment_answer>> outgoing_answers_;
     bool verdicts_requested_ = false; ///< the holder's digest differed
 };
 
-/// Hashes of the segments that other requests may share: all but the last.
-state::segment_hashes shared_segment_hashes(state::forwarded_request const& request);
+/// What other requests may share with a request: its segments but the last, and its fingerprint.
+state::segment_hashes evidence_hashes(state::forwarded_request const& request);
+
+/// Fingerprint of a request. Headers that differ between repeats have no part in it.
+state::segment_hash fingerprint_of(
+    std::string_view caller_key, std::string_view target, std::string_view body);
 
 state::segment_hash hash_of_segment(std::string_view id);
 
--- a/src/state/forwarded_request.hpp
+++ b/src/state/forwarded_request.hpp
@@ -2,6 +2,7 @@
 #define AUBURNWEIR_STATE_FORWARDED_REQUEST_HPP
 
 #include "state/ids.hpp"
+#include "state/segment_evidence.hpp"
 #include "state/time.hpp"
 
 #include <optional>
@@ -30,6 +31,8 @@
     token_count max_output{0};
     /// Segments of the prompt, in order; the last one belongs to this request only.
     std::vector<prompt_segment> segments;
+    /// Equal for repeats of one request: a hash of its caller, path and body.
+    segment_hash fingerprint{0};
     /// Id of the last event that the caller received; empty for a new stream.
     std::string resume_after;
 };
--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -38,6 +38,7 @@
         "request_memory_exhausted",
         "response_memory_exhausted",
         "segment_quarantined",
+        "request_quarantined",
         "backends_closed",
     };
 
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -39,6 +39,7 @@
     request_memory_exhausted,
     response_memory_exhausted,
     segment_quarantined,
+    request_quarantined,
     backends_closed,
     count_
 };
--- a/src/state/segment_evidence.hpp
+++ b/src/state/segment_evidence.hpp
@@ -9,8 +9,8 @@
 namespace auburnweir::state
 {
 
-/// Hash of a prompt segment's id. Ids are callers' text of any length; tables and messages keep the
-/// hash.
+/// Hash of a prompt segment's id, or of a whole request. Ids are callers' text of any length;
+/// tables and messages keep the hash.
 using segment_hash = quantity<struct segment_hash_unit, std::uint64_t>;
 
 using segment_hashes = std::vector<segment_hash>;
--- a/src/transport/attempt_recorder.cpp
+++ b/src/transport/attempt_recorder.cpp
@@ -115,7 +115,7 @@
     state::server_view const& server, state::forwarded_request const& request)
 {
     bool const check_is_due = context_.tables.segment_quarantine.record_loss(
-        process_of(server), coordination::shared_segment_hashes(request), now());
+        process_of(server), coordination::evidence_hashes(request), now());
     if (!check_is_due)
         return;
     auto check = check_server(context_, worker_, server);
@@ -124,8 +124,7 @@
 
 void attempt_recorder::record_answer(state::forwarded_request const& request)
 {
-    auto const changes = context_.tables.segment_quarantine.record_answer(
-        coordination::shared_segment_hashes(request), now());
+    auto const changes = context_.tables.segment_quarantine.record_answer(request, now());
     record_verdict_changes(context_, changes);
 }
 
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -93,6 +93,8 @@
     }
     forwarded_ = std::move(*decoded);
     auto const target = request_.target();
+    forwarded_.fingerprint = coordination::fingerprint_of(
+        forwarded_.key, {target.data(), target.size()}, request_.body());
     auto const host = request_[http::field::host];
     auto const decision = coordination::admit_request(
         {forwarded_,
@@ -416,7 +418,9 @@
     quarantined_segment_ = segment.id;
     if (progress_.possibly_executed == 0)
     {
-        co_await finish_not_run(refusal_reason::segment_quarantined, segment.remaining);
+        auto const reason = segment.id.empty() ? refusal_reason::request_quarantined
+                                               : refusal_reason::segment_quarantined;
+        co_await finish_not_run(reason, segment.remaining);
         co_return;
     }
     context_.tables.counters.increment(state::give_up_reason::segment_quarantined);
--- a/tests/integration/gateway_crash_test.cpp
+++ b/tests/integration/gateway_crash_test.cpp
@@ -76,5 +76,37 @@
     EXPECT_EQ(crashed_backends(), crashed);
 }
 
+// Guards against BUDGET: one request, sent again and again, crashes one server after the other.
+TEST_F(gateway_crash_test, request_that_crashed_three_servers_is_refused_when_it_comes_again)
+{
+    auto const send = [&](std::string const& id, std::string const& name, int gateway)
+    {
+        return system.send_request(
+            "/flow/stream/" + name, id,
+            {{"Auburnweir-Prompt-Prefix", "venue:100,own-" + name + ":20"}}, gateway);
+    };
+    for (int i = 0; i < 3; ++i)
+    {
+        auto const number = std::to_string(i);
+        EXPECT_NE(send("d" + number, "deadly", i % 2).status, 200);
+        EXPECT_EQ(send("s" + number, "sound", i % 2).status, 200);
+        std::this_thread::sleep_for(coordination::quarantine_settings{}.crash_grouping_time);
+    }
+    auto const is_quarantined = [&](int gateway)
+    { return system.counter(gateway, "auburnweir_quarantined_segments") == 1; };
+    EXPECT_TRUE(eventually([&] { return is_quarantined(0) && is_quarantined(1); }, 4000));
+    auto const crashed = crashed_backends();
+    EXPECT_EQ(crashed, 3);
+    for (int i = 0; i < 6; ++i)
+    {
+        auto const number = std::to_string(i);
+        auto const refused = send("r" + number, "deadly", i % 2);
+        EXPECT_EQ(refused.status, 503);
+        EXPECT_EQ(refused.run_outcome(), "not_run");
+        EXPECT_EQ(send("t" + number, "sound", i % 2).status, 200);
+    }
+    EXPECT_EQ(crashed_backends(), crashed);
+}
+
 } // namespace
 } // namespace auburnweir::tests
--- a/tests/unit/segment_quarantine_test.cpp
+++ b/tests/unit/segment_quarantine_test.cpp
@@ -38,7 +38,7 @@
     void crash(int instance, int number, std::vector<state::forwarded_request> const& requests)
     {
         for (auto const& request : requests)
-            at(instance).record_loss(server(number), shared_segment_hashes(request), now);
+            at(instance).record_loss(server(number), evidence_hashes(request), now);
         at(instance).confirm_crash(server(number), now);
     }
 
@@ -54,7 +54,7 @@
 
     void answer(int instance, state::forwarded_request const& request)
     {
-        at(instance).record_answer(shared_segment_hashes(request), now);
+        at(instance).record_answer(request, now);
     }
 
     void exchange(int instance, bool is_new_holder = false)
@@ -163,7 +163,7 @@
 {
     for (int i = 1; i <= 5; ++i)
     {
-        at(i).record_loss(server(i), shared_segment_hashes(deadly), now);
+        at(i).record_loss(server(i), evidence_hashes(deadly), now);
         at(i).dismiss_losses(server(i));
         EXPECT_FALSE(at(i).confirm_crash(server(i), now));
     }
@@ -330,5 +330,77 @@
 
 INSTANTIATE_TEST_SUITE_P(seeds, segment_quarantine_load_test, testing::Range(1, 21));
 
+/// Instances to which one request comes again and again, without a segment that others share.
+class repeated_request_test : public segment_quarantine_test
+{
+protected:
+    static state::forwarded_request request(std::string const& body)
+    {
+        auto result = prompt({"venue", "own-" + body});
+        result.fingerprint = fingerprint_of("key", "/draft", body);
+        return result;
+    }
+
+    void crash_at_instances(int first, int last, std::vector<state::forwarded_request> const& lost)
+    {
+        for (int i = first; i <= last; ++i)
+        {
+            crash(i, i, lost);
+            answer(8, request("other"));
+            pass(600ms);
+        }
+    }
+
+    state::forwarded_request const repeated = request("deadly");
+    state::forwarded_request const bystander = request("sound");
+};
+
+// Guards against BUDGET: one request that callers repeat crashes server after server.
+TEST_F(repeated_request_test, request_of_crashes_at_three_instances_is_refused_by_all)
+{
+    crash_at_instances(1, 3, {repeated, bystander});
+    answer(5, bystander);
+    pass(1500ms);
+    for (int i = 0; i < instances; ++i)
+    {
+        EXPECT_TRUE(refuses(i, repeated)) << i;
+        EXPECT_FALSE(refuses(i, request("other"))) << i;
+    }
+}
+
+TEST_F(repeated_request_test, request_is_forgotten_after_the_quarantine)
+{
+    crash_at_instances(1, 3, {repeated});
+    pass(1500ms);
+    ASSERT_TRUE(refuses(4, repeated));
+    now += quarantine_settings{}.quarantine;
+    EXPECT_FALSE(refuses(4, repeated));
+    now += quarantine_settings{}.quarantine;
+    pass(period);
+    EXPECT_EQ(at(4).verdicts(now).size(), 0U);
+}
+
+TEST_F(repeated_request_test, request_that_another_instance_answers_between_crashes_is_accepted)
+{
+    answer(6, bystander);
+    for (int i = 1; i <= 4; ++i)
+    {
+        crash(i, i, {bystander});
+        answer(6, bystander);
+        pass(900ms);
+    }
+    for (int i = 0; i < instances; ++i)
+        EXPECT_FALSE(refuses(i, bystander)) << i;
+}
+
+TEST_F(repeated_request_test, fingerprint_differs_by_caller_path_and_body)
+{
+    auto const all = {
+        fingerprint_of("a", "/x", "1"), fingerprint_of("b", "/x", "1"),
+        fingerprint_of("a", "/y", "1"), fingerprint_of("a", "/x", "2")};
+    for (auto i = all.begin(); i != all.end(); ++i)
+        EXPECT_EQ(std::count(all.begin(), all.end(), *i), 1);
+}
+
 } // namespace
 } // namespace auburnweir::coordination
