--- a/tests/integration/gateway_forward_test.cpp
+++ b/tests/integration/gateway_forward_test.cpp
@@ -231,6 +231,87 @@
     EXPECT_EQ(system.send_request("/safe/x", "u1").status, 200);
 }
 
+// Guards against LOST: one odd row ends the gateways that read the directory, or stops its watch.
+TEST_F(gateway_forward_test, odd_directory_rows_are_ignored_and_later_rows_are_followed)
+{
+    constexpr std::size_t nesting = 20000;
+    auto const row_with = [](std::string const& field, std::string const& value)
+    {
+        std::map<std::string, std::string> fields{
+            {"service", "\"desk\""},  {"address", "\"127.0.0.1:9\""},
+            {"zone", "\"domain-1\""}, {"version", "\"v1\""},
+            {"slots", "8"},           {"state", "\"ready\""},
+            {"coldRemainingMs", "0"}, {"sequence", "1"},
+            {"born", "1000"}};
+        fields[field] = value;
+        std::string text;
+        for (auto const& [name, content] : fields)
+            text += (text.empty() ? "{\"" : ",\"") + name + "\":" + content;
+        return text + "}";
+    };
+    std::vector<std::string> const values{
+        std::string(nesting, '[') + std::string(nesting, ']'),
+        std::string(nesting, '['),
+        row_with("more", std::string(nesting, '[') + std::string(nesting, ']')),
+        row_with("slots", "1e999"),
+        row_with("slots", "9223372036854775807"),
+        row_with("slots", "18446744073709551616"),
+        row_with("slots", "-1"),
+        row_with("born", "1e400"),
+        row_with("born", "-9223372036854775808"),
+        row_with("born", "1.5"),
+        row_with("address", "\"127.0.0.1:99999\""),
+        row_with("address", "\"127.0.0.1:0\""),
+        row_with("address", "\"127.0.0.1:-1\""),
+        row_with("address", "\"[::::1]:80\""),
+        row_with("address", "[]"),
+        row_with("state", "{}")};
+    auto rows = json::array();
+    for (auto const& value : values)
+        rows.push_back(
+            {{"table", "servers"},
+             {"key", "odd-" + std::to_string(rows.size())},
+             {"value", value}});
+    rows.push_back(
+        {{"table", "servers"}, {"key", "odd\r\nX: 1"}, {"value", row_with("version", "\"v1\"")}});
+    auto const pid = system.gateway(0).pid();
+    gateway_deployment::control(system.store(), {{"put", rows}});
+    std::this_thread::sleep_for(std::chrono::milliseconds{1200});
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(system.send_request("/safe/x", "u" + std::to_string(i)).status, 200);
+    EXPECT_EQ(system.counter(0, "auburnweir_retries_total{reason=\"connect_failed\"}"), 0);
+    system.list_backend(0, "draining");
+    std::this_thread::sleep_for(std::chrono::milliseconds{2500});
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(
+            system.send_request("/safe/x", "w" + std::to_string(i)).parsed()["server"],
+            "backend-2");
+    EXPECT_EQ(system.gateway(0).pid(), pid);
+}
+
+// Guards against LOST: a request that comes late in a planned stop is passed on and then cut.
+TEST_F(gateway_forward_test, requests_late_in_a_stop_are_refused_on_kept_and_new_connections)
+{
+    caller_session kept;
+    header_list const headers{{"Host", "calls.test"}, {"Auburnweir-Attempt-Id", "k0"}};
+    EXPECT_EQ(kept.call(system.port(), "POST", "/once/x", headers, "order").status, 200);
+    system.gateway(0).signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds{4500});
+    for (int i = 0; i < 10; ++i)
+    {
+        auto const id = "n" + std::to_string(i);
+        auto const late = system.send_request("/once/x", id);
+        EXPECT_TRUE(late.status == 503 || late.status == 0) << late.status;
+        EXPECT_EQ(system.run_count(id), 0);
+        std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    }
+    auto late_headers = headers;
+    late_headers.back().second = "k1";
+    auto const late = kept.call(system.port(), "POST", "/once/x", late_headers, "order");
+    EXPECT_TRUE(late.status == 503 || late.status == 0) << late.status;
+    EXPECT_EQ(system.run_count("k1"), 0);
+}
+
 TEST_F(gateway_forward_test, incomplete_request_at_gateway_stop_is_refused)
 {
     std::vector<std::string> const chunks{
