Show that a response closed within its header is lost

Cause: it does not happen here: a header without its end is no response. Change: a test that closes after each byte of a header. Measured: http_client_test.response_closed_at_any_byte_of_its_header_is_lost passes. Conclusion: kept as a guard.

--- a/tests/integration/http_client_test.cpp
+++ b/tests/integration/http_client_test.cpp
@@ -189,6 +189,25 @@
     EXPECT_EQ(call(server).body, "ok");
 }
 
+// Guards against MIXED, ORDER: a head that breaks off is taken for a response with a short body.
+TEST_F(http_client_test, response_closed_at_any_byte_of_its_header_is_lost)
+{
+    std::string const header =
+        "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: text/plain\r\nContent-Length: 12\r\n\r\n";
+    for (std::size_t length = 0; length < header.size(); ++length)
+    {
+        scripted_server server(
+            [&](tcp::socket& s)
+            {
+                scripted_server::read_request_header(s);
+                scripted_server::send(s, header.substr(0, length));
+            });
+        auto const result = call(server);
+        EXPECT_TRUE(result.error) << length;
+        EXPECT_EQ(result.status, 0) << length;
+    }
+}
+
 TEST_F(http_client_test, interim_responses_before_response_are_skipped)
 {
     scripted_server server(
