Soak: a store that returns from an older copy

Cause: the plan knew a store that is down, slow, loses answers or history, not one that takes back what it has acknowledged.

--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -300,6 +300,23 @@
         [this](json const& body) { gateway_deployment::control(deployment_.store(), body); });
 }
 
+void soak_deployment::perform(restore_store const& f)
+{
+    deployment_.copy_store();
+    record_disruption(f.lost_ms);
+    schedule_after(
+        f.lost_ms,
+        [this]
+        {
+            gateway_deployment::control(deployment_.store(), {{"restore", true}});
+            deployment_.rewrite_configuration();
+            for (std::size_t i = 0; i < draining_.size(); ++i)
+                deployment_.list_backend(
+                    static_cast<int>(i), draining_[i] ? "draining" : "ready", "v1",
+                    backend_incarnations_[i]);
+        });
+}
+
 void soak_deployment::perform(disrupt_backend const& f)
 {
     json faults;
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -49,6 +49,7 @@
     void perform(stop_gateway const& f);
     void perform(disrupt_link const& f);
     void perform(disrupt_store const& f);
+    void perform(restore_store const& f);
     void perform(disrupt_backend const& f);
     void perform(drain_backend const& f);
     void perform(change_key const& f);
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -127,6 +127,20 @@
         plan.begin(), plan.end(), [](auto const& a, auto const& b) { return a.at_ms < b.at_ms; });
 }
 
+/// Adds returns of the store to a copy, with a generator of their own for the same reason.
+void add_restores(std::vector<planned_fault>& plan, std::uint64_t seed, soak_size const& size)
+{
+    constexpr double mean_restore_gap_ms = 6000;
+    std::mt19937_64 random(~seed * 2 + 1);
+    std::exponential_distribution<> gap_ms(1 / mean_restore_gap_ms);
+    std::uniform_int_distribution<> lost_ms(min_duration_ms, max_duration_ms);
+    double at = start_delay_ms + gap_ms(random);
+    for (; at < size.fault_phase_ms; at += max_duration_ms + gap_ms(random))
+        plan.push_back({static_cast<int>(at), restore_store{lost_ms(random)}});
+    std::stable_sort(
+        plan.begin(), plan.end(), [](auto const& a, auto const& b) { return a.at_ms < b.at_ms; });
+}
+
 std::string duration_text(int ms)
 {
     return " for " + std::to_string(ms) + " ms";
@@ -142,6 +156,7 @@
          at += std::max(min_gap_ms, generator.gap_ms()))
         plan.push_back({at, generator.next()});
     add_endless_responses(plan, seed, size);
+    add_restores(plan, seed, size);
     return plan;
 }
 
@@ -165,6 +180,7 @@
                 return std::string{"store "} + store_fault_names[index(f.fault)] +
                        duration_text(f.duration_ms);
             },
+            [](restore_store const& f) { return "restore store, lost" + duration_text(f.lost_ms); },
             [&](disrupt_backend const& f)
             {
                 return "backend " + std::to_string(f.backend) + " " +
--- a/tests/soak/soak_plan.hpp
+++ b/tests/soak/soak_plan.hpp
@@ -77,6 +77,13 @@
     int duration_ms;
 };
 
+/// Takes the store back to the copy that it made `lost_ms` before. The operator and the backends
+/// then write again what was lost.
+struct restore_store
+{
+    int lost_ms;
+};
+
 enum class backend_fault : std::uint8_t
 {
     failing, ///< responds with status 500
@@ -114,8 +121,8 @@
 };
 
 using soak_fault = std::variant<
-    kill_gateway, pause_gateway, stop_gateway, disrupt_link, disrupt_store, disrupt_backend,
-    drain_backend, change_key, add_route>;
+    kill_gateway, pause_gateway, stop_gateway, disrupt_link, disrupt_store, restore_store,
+    disrupt_backend, drain_backend, change_key, add_route>;
 
 struct planned_fault
 {
