Split the instances' registry and the evidence of requests into files of their own

Change: transport/instance_registry and coordination/request_evidence; behaviour stays. Measured: 290 unit tests, gateway_crash_test and the registration test pass.

--- /dev/null
+++ b/src/coordination/request_evidence.cpp
@@ -0,0 +1,52 @@
+#include "coordination/request_evidence.hpp"
+
+#include <xxhash.h>
+
+namespace auburnweir::coordination
+{
+
+namespace
+{
+
+using state::segment_hash;
+using state::server_process_hash;
+
+constexpr std::size_t max_shared_segments = 16; ///< of one request, the deepest
+
+std::uint64_t hash_of(std::string_view text, std::uint64_t seed = 0)
+{
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+} // namespace
+
+state::segment_hashes evidence_hashes(state::forwarded_request const& request)
+{
+    state::segment_hashes hashes;
+    std::size_t const shared = request.segments.empty() ? 0 : request.segments.size() - 1;
+    std::size_t const first = shared > max_shared_segments ? shared - max_shared_segments : 0;
+    for (std::size_t i = first; i < shared; ++i)
+        hashes.push_back(hash_of_segment(request.segments[i].id));
+    if (request.fingerprint != segment_hash{0})
+        hashes.push_back(request.fingerprint);
+    return hashes;
+}
+
+segment_hash fingerprint_of(
+    std::string_view caller_key, std::string_view target, std::string_view body)
+{
+    return segment_hash{hash_of(body, hash_of(target, hash_of(caller_key)))};
+}
+
+segment_hash hash_of_segment(std::string_view id)
+{
+    return segment_hash{hash_of(id)};
+}
+
+server_process_hash hash_of_process(
+    state::backend_id const& id, state::incarnation_number incarnation)
+{
+    return server_process_hash{hash_of(id.str(), incarnation.count())};
+}
+
+} // namespace auburnweir::coordination
--- a/src/coordination/segment_quarantine.cpp
+++ b/src/coordination/segment_quarantine.cpp
@@ -22,7 +22,6 @@
 constexpr std::size_t max_outgoing = 256; ///< observations of each kind
 constexpr std::size_t max_observations_per_report = 64;
 constexpr std::size_t max_suspects_per_response = 32;
-constexpr std::size_t max_shared_segments = 16; ///< of one request, the deepest
 
 /// Losses at one server within this time belong to one event.
 constexpr state::duration loss_grouping_time = std::chrono::seconds{2};
@@ -30,11 +29,6 @@
 /// A suspect that only one crash supports is not asked for: most of them are bystanders.
 constexpr std::size_t min_crashes_to_ask = 2;
 
-std::uint64_t hash_of(std::string_view text, std::uint64_t seed = 0)
-{
-    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
-}
-
 template <class Outgoing>
 void queue(std::vector<Outgoing>& list, Outgoing observation)
 {
@@ -484,33 +478,4 @@
     std::erase_if(outgoing_answers_, is_old);
 }
 
-state::segment_hashes evidence_hashes(state::forwarded_request const& request)
-{
-    state::segment_hashes hashes;
-    std::size_t const shared = request.segments.empty() ? 0 : request.segments.size() - 1;
-    std::size_t const first = shared > max_shared_segments ? shared - max_shared_segments : 0;
-    for (std::size_t i = first; i < shared; ++i)
-        hashes.push_back(hash_of_segment(request.segments[i].id));
-    if (request.fingerprint != segment_hash{0})
-        hashes.push_back(request.fingerprint);
-    return hashes;
-}
-
-segment_hash fingerprint_of(
-    std::string_view caller_key, std::string_view target, std::string_view body)
-{
-    return segment_hash{hash_of(body, hash_of(target, hash_of(caller_key)))};
-}
-
-segment_hash hash_of_segment(std::string_view id)
-{
-    return segment_hash{hash_of(id)};
-}
-
-server_process_hash hash_of_process(
-    state::backend_id const& id, state::incarnation_number incarnation)
-{
-    return server_process_hash{hash_of(id.str(), incarnation.count())};
-}
-
 } // namespace auburnweir::coordination
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -5,7 +5,6 @@
 #include "transport/log.hpp"
 
 #include <algorithm>
-#include <random>
 
 namespace auburnweir::transport
 {
@@ -41,17 +40,9 @@
 /// The same for an instance that reported that it stops.
 constexpr state::duration stopped_instance_expiry = std::chrono::seconds{3};
 
-/// Table with a row for each instance that ever started.
-constexpr char const* instance_table_name = "auburnweir-instances";
-
 /// Maximum number of reports that wait for their response; older ones are dropped.
 constexpr std::size_t max_pending_reports = 32;
 
-constexpr state::duration store_retry_delay = std::chrono::milliseconds{300};
-
-/// All instances write their rows again within this time after the store came back from a copy.
-constexpr state::duration max_renewal_jitter = std::chrono::seconds{2};
-
 /// Time in which instances that start together have written their rows.
 constexpr state::duration startup_registration_time = std::chrono::seconds{2};
 
@@ -61,6 +52,7 @@
     : context_(context)
     , links_(links)
     , directory_(directory)
+    , registry_(context)
 {
 }
 
@@ -73,68 +65,21 @@
         context_.timers.every(urgent_report_period, [this] { report_if_urgent(); }));
 }
 
-net::awaitable<void> peer_exchange::register_instance()
-{
-    conditional_write registration;
-    registration.table = table_name{instance_table_name};
-    registration.key = context_.settings.id.str();
-    registration.value = context_.settings.failure_domain.str();
-    for (;;)
-    {
-        auto const result =
-            co_await context_.ports.store.write(registration, context_.settings.store_timeout);
-        if (auto const* applied = std::get_if<write_applied>(&result))
-        {
-            registered_in_ = applied->era;
-            co_return;
-        }
-        co_await sleep_for(context_.workers.at(0).io(), store_retry_delay);
-    }
-}
-
-void peer_exchange::renew_registration()
-{
-    bool const is_lost = registered_in_ && *registered_in_ < context_.tables.store_eras.current();
-    if (!is_lost)
-        return;
-    registered_in_.reset();
-    net::co_spawn(
-        context_.workers.at(0).io(),
-        [this]() -> net::awaitable<void>
-        {
-            std::uniform_int_distribution<std::int64_t> jitter(0, max_renewal_jitter.count());
-            state::duration const delay{jitter(context_.workers.at(0).random())};
-            co_await sleep_for(context_.workers.at(0).io(), delay);
-            co_await register_instance();
-        },
-        net::detached);
-}
-
 net::awaitable<void> peer_exchange::register_and_count_instances()
 {
-    auto& store = context_.ports.store;
-    auto const timeout = context_.settings.store_timeout;
-    auto& io = context_.workers.at(0).io();
-    table_name const table{instance_table_name};
-    co_await register_instance();
+    co_await registry_.register_instance();
     // Rows of an earlier start give the number of instances at once. At the first start the other
     // instances need time to write theirs, unless a holder has counted them meanwhile.
     for (auto const pause : {state::duration::zero(), startup_registration_time})
     {
-        co_await sleep_for(io, pause);
+        co_await sleep_for(context_.workers.at(0).io(), pause);
         if (holder_rows())
             co_return;
-        auto listing = co_await store.read_table(table, timeout);
-        while (!listing)
-        {
-            co_await sleep_for(io, store_retry_delay);
-            listing = co_await store.read_table(table, timeout);
-        }
+        auto const registered = co_await registry_.count_instances();
         std::uint64_t known = 0;
         {
             std::lock_guard lock(mutex_);
-            known_instances_ =
-                std::max<std::uint64_t>(known_instances_, listing.value().rows.size());
+            known_instances_ = std::max(known_instances_, registered);
             known = holder_.id.empty() ? known_instances_ : 0;
         }
         if (known > 0)
@@ -242,7 +187,7 @@
     }
     ++report_periods_;
     links_.close_unauthenticated(now());
-    renew_registration();
+    registry_.renew_registration();
     if (auto const routes = context_.tables.routes.current())
         context_.tables.quotas.apply_limits(routes->organisations(), now());
     bool const is_own = holder.id == context_.settings.id;
--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -3,6 +3,7 @@
 
 #include "coordination/directory_update_limiter.hpp"
 #include "transport/directory_sync.hpp"
+#include "transport/instance_registry.hpp"
 #include "transport/peer_links.hpp"
 
 #include <deque>
@@ -69,10 +70,6 @@
     };
 
     net::awaitable<void> register_and_count_instances();
-    /// Writes this instance's row; tries until the store has acknowledged it.
-    net::awaitable<void> register_instance();
-    /// Registers this instance once more when the store may have lost its row.
-    void renew_registration();
     void tick();
     void report_if_urgent();
     void apply_shares(
@@ -100,6 +97,7 @@
     gateway_context& context_;
     peer_links& links_;
     directory_sync& directory_;
+    instance_registry registry_;
     std::vector<timer_subscription> subscriptions_;
     std::uint64_t report_periods_ = 0;
     state::instance_id reported_to_; ///< holder that the last report was sent to
@@ -112,8 +110,6 @@
         state::time_point at{};
     };
 
-    std::optional<state::store_era> registered_in_; ///< null while a registration is under way
-
     mutable std::mutex mutex_;
     state::instance holder_; ///< may be this instance; empty when none is known
     state::time_point last_response_at_{};
