Wording of a log event and two comments

Cause: read once more. Change: AW1205's meaning in two lines; fencing numbers do not grow by one any more; a doubled sentence.

--- a/src/state/lease_record.hpp
+++ b/src/state/lease_record.hpp
@@ -11,7 +11,7 @@
 struct lease_record
 {
     instance_id holder;
-    fencing_number fencing; ///< grows by one with each change of holder
+    fencing_number fencing; ///< grows with each change of holder
     wall_time until;
 
     friend bool operator==(lease_record const&, lease_record const&) = default;
--- a/src/transport/directory_sync.hpp
+++ b/src/transport/directory_sync.hpp
@@ -22,7 +22,6 @@
     {
     }
 
-    /// Applies rows that were read from the store.
     /// Applies rows read from the store, unless the holder's directory is more recent.
     /// @param is_full_listing  servers without a row are removed
     /// @return whether they were applied
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -90,9 +90,8 @@
          "age"},
         {e::store_regained, l::info, "store_regained", "the store responds again"},
         {e::store_restored, l::warning, "store_restored",
-         "the store came back from an older copy; what it acknowledged since the copy is gone "
-         "until "
-         "it is written again"},
+         "the store came back from an older copy; what it acknowledged since is gone until it is "
+         "written again"},
         {e::backend_leaving, l::info, "backend_leaving",
          "a backend server is leaving and gets no new requests until it is replaced"},
         {e::backend_ejected, l::warning, "backend_ejected",
