Review: case 2, released engines use up the gateway's descriptors; case 3, a quarantine forgotten by a restart

Cause of case 2: http_client keeps up to 64 idle connections for each address and nothing closes those to engines that are gone. Cause of case 3: verdicts on prompt parts are kept in memory only.

--- a/review/support/deployment.cpp
+++ b/review/support/deployment.cpp
@@ -78,7 +78,6 @@
 deployment::deployment(deployment_plan plan, record& log)
     : plan_(plan)
     , log_(log)
-    , engines_born_at_ms_(wall_ms())
 {
     auto name = (std::filesystem::temp_directory_path() / "auburnweir-review-XXXXXX").string();
     folder_ = mkdtemp(name.data());
@@ -88,11 +87,7 @@
     store_ = std::make_unique<tests::process>(
         std::vector<std::string>{std::string{standin_folder} + "standin-metadata-store"});
     for (int i = 0; i < plan_.engines; ++i)
-    {
-        engines_.push_back(std::make_unique<tests::process>(std::vector<std::string>{
-            std::string{standin_folder} + "standin-routed-backend", engine_name(i)}));
-        list_engine(i);
-    }
+        list_engine(start_engine());
     json const tenants = json::array(
         {{{"name", "tenant-1"},
           {"apiKeys", json::array({"key-1"})},
@@ -215,22 +210,80 @@
     control_store({{"put", json::array({row})}});
 }
 
-void deployment::list_engine(int index)
+void deployment::start_engine_process(int index)
+{
+    auto& e = engines_.at(index);
+    e.process = std::make_unique<tests::process>(std::vector<std::string>{
+        std::string{standin_folder} + "standin-routed-backend", engine_name(index)});
+    e.port = e.process->port();
+    e.born_at_ms = wall_ms();
+}
+
+void deployment::add_route(std::string const& name, std::string const& kind, bool carries_prompt)
+{
+    auto added = route(name, kind, 1, 3000);
+    added["sticky"] = carries_prompt;
+    configuration_["routes"].push_back(std::move(added));
+    configuration_["version"] = ++version_;
+    write_configuration();
+}
+
+int deployment::start_engine()
+{
+    auto const index = engines();
+    engines_.emplace_back();
+    start_engine_process(index);
+    return index;
+}
+
+void deployment::restart_engine(int index)
+{
+    start_engine_process(index);
+}
+
+void deployment::stop_engine(int index)
 {
+    engines_.at(index).process.reset();
+}
+
+bool deployment::engine_has_ended(int index)
+{
+    auto& e = engines_.at(index);
+    return !e.process || e.process->pid() <= 0 || e.process->wait_for_exit(0).has_value();
+}
+
+bool deployment::control_engine(int index, json const& command) const
+{
+    endpoint const engine{"127.0.0.1", engines_.at(index).port};
+    return call_once(engine, {"POST", "/control", {}, command.dump()}).status == 200;
+}
+
+json deployment::runs_of_engine(int index) const
+{
+    endpoint const engine{"127.0.0.1", engines_.at(index).port};
+    auto const response = call_once(engine, {"GET", "/runs", {}, {}});
+    return json::parse(response.body, nullptr, false).value("runs", json::object());
+}
+
+void deployment::list_engine(int index, listing state)
+{
+    auto const& e = engines_.at(index);
     json const entry{
-        {"service", "reservas"},
-        {"address", "127.0.0.1:" + std::to_string(engine(index).port())},
-        {"zone", "santiago-a"},
-        {"version", "v1"},
-        {"slots", 8},
-        {"state", "ready"},
-        {"coldRemainingMs", 0},
-        {"sequence", 1},
-        {"born", engines_born_at_ms_}};
+        {"service", "reservas"},       {"address", "127.0.0.1:" + std::to_string(e.port)},
+        {"zone", "santiago-a"},        {"version", "v1"},
+        {"slots", plan_.engine_slots}, {"state", state == listing::ready ? "ready" : "draining"},
+        {"coldRemainingMs", 0},        {"sequence", 1},
+        {"born", e.born_at_ms}};
     json const row{{"table", "servers"}, {"key", engine_name(index)}, {"value", entry.dump()}};
     control_store({{"put", json::array({row})}});
 }
 
+void deployment::remove_engine(int index)
+{
+    json const row{{"table", "servers"}, {"key", engine_name(index)}};
+    control_store({{"remove", json::array({row})}});
+}
+
 bool deployment::control_store(json const& command) const
 {
     endpoint const store{"127.0.0.1", store_->port()};
--- a/review/support/deployment.hpp
+++ b/review/support/deployment.hpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <deque>
 #include <fstream>
 #include <memory>
 #include <mutex>
@@ -44,6 +45,14 @@
 {
     int gateways = 3;
     int engines = 2;
+    int engine_slots = 8;
+};
+
+/// State of an engine in the directory.
+enum class listing
+{
+    ready,
+    draining
 };
 
 /// A small deployment of real processes on loopback addresses: the project's stand-ins for the
@@ -64,7 +73,8 @@
     bool wait_until_ready();
 
     int gateways() const { return plan_.gateways; }
-    int engines() const { return plan_.engines; }
+    /// Number of engines that were started so far.
+    int engines() const { return static_cast<int>(engines_.size()); }
     endpoint callers(int gateway) const;
     bool is_ready(int gateway) const;
 
@@ -72,12 +82,33 @@
     void kill_gateway(int index);
     int pid_of_gateway(int index) const;
 
-    /// The value of a route's, a tenant's or another field can be changed before it is written.
-    json& configuration() { return configuration_; }
+    /// Writes the newest configuration, also again after the store has lost it.
     void write_configuration();
 
-    /// Writes the row of an engine in the directory.
-    void list_engine(int index);
+    /// Adds a route in a new version of the configuration.
+    void add_route(std::string const& name, std::string const& kind, bool carries_prompt);
+
+    /// Starts a further engine at a new address. @return its index
+    int start_engine();
+
+    /// Starts an engine again that has ended, under its id and at a new address.
+    void restart_engine(int index);
+
+    /// Ends an engine's process.
+    void stop_engine(int index);
+
+    /// Whether an engine's process has ended by itself.
+    bool engine_has_ended(int index);
+
+    /// Sends a command to an engine.
+    bool control_engine(int index, json const& command) const;
+
+    /// Numbers of runs by request, of one engine's process.
+    json runs_of_engine(int index) const;
+
+    /// Writes or removes the row of an engine in the directory.
+    void list_engine(int index, listing state = listing::ready);
+    void remove_engine(int index);
 
     /// Sends a command to the stand-in for the store.
     bool control_store(json const& command) const;
@@ -88,7 +119,14 @@
     std::string const& folder() const { return folder_; }
 
 private:
-    tests::process const& engine(int index) const { return *engines_.at(index); }
+    struct engine
+    {
+        std::unique_ptr<tests::process> process;
+        std::uint16_t port = 0;
+        std::int64_t born_at_ms = 0;
+    };
+
+    void start_engine_process(int index);
     std::string settings_of(int index) const;
 
     deployment_plan plan_;
@@ -96,11 +134,10 @@
     std::string folder_;
     std::string network_; ///< first three bytes of the gateways' addresses
     std::unique_ptr<tests::process> store_;
-    std::vector<std::unique_ptr<tests::process>> engines_;
+    std::vector<engine> engines_;
     std::vector<std::unique_ptr<tests::process>> gateways_;
     json configuration_;
     std::int64_t version_ = 0;
-    std::int64_t engines_born_at_ms_ = 0;
 };
 
 /// The case's folder and whether the disruption is wanted, from the command line and `TROUBLE`.
