--- a/review/2/released_engines.cpp
+++ b/review/2/released_engines.cpp
@@ -265,19 +265,18 @@
     std::this_thread::sleep_for(warm_up);
     log.line("answers on kept channels: " + clients.take_counts());
     play_releases(system, live, clients, log, options.trouble);
+    live.clear();
     for (int engine = system.engines() - live_engines; engine < system.engines(); ++engine)
+        live.push_back(engine);
+    for (auto const engine : live)
         log.line(
             "engine " + std::to_string(engine + 1) + " answers a direct call: " +
             (system.control_engine(engine, json::object()) ? "yes" : "no"));
-    log.line(
-        std::string{"the gateway's process "} +
-        (open_descriptors(system.pid_of_gateway(0)) > 0 ? "still runs" : "has ended"));
+    bool const runs = open_descriptors(system.pid_of_gateway(0)) > 0;
+    log.line(std::string{"the gateway's process "} + (runs ? "still runs" : "has ended"));
     log.line(std::string{"readiness probe: "} + (system.is_ready(0) ? "200" : "no 200"));
     auto const unanswered = count_unanswered(system.callers(0), log);
     log.line("answers on kept channels: " + clients.take_counts());
-    live.clear();
-    for (int engine = system.engines() - live_engines; engine < system.engines(); ++engine)
-        live.push_back(engine);
     log_runs(system, live, log);
     bool const broken = unanswered >= min_unanswered && 2 * unanswered > probes;
     if (broken)
