--- a/review/1/restored_after_kill.cpp
+++ b/review/2/restored_after_kill.cpp
@@ -1,10 +1,9 @@
 #include "support/deployment.hpp"
 
 #include <atomic>
-#include <iostream>
 #include <thread>
 
-/// Case 1: the platform's store comes back from a copy that is some seconds old while all gateways
+/// Case 2: the platform's store comes back from a copy that is some seconds old while all gateways
 /// have been killed. A usage window that was reported after the copy is reported again, with other
 /// counts.
 
@@ -174,18 +173,5 @@
 
 int main(int argc, char** argv)
 {
-    try
-    {
-        auto const result = run(options_from(argc, argv));
-        std::cout << (result == exit_broken ? "broken"
-                      : result == exit_held ? "held"
-                                            : "not run")
-                  << "\n";
-        return result;
-    }
-    catch (std::exception const& error)
-    {
-        std::cerr << error.what() << "\n";
-        return exit_not_run;
-    }
+    return run_case(argc, argv, run);
 }
--- a/review/support/deployment.cpp
+++ b/review/support/deployment.cpp
@@ -297,13 +297,26 @@
     return json::parse(response.body, nullptr, false);
 }
 
-case_options options_from(int argc, char** argv)
+int run_case(int argc, char** argv, std::function<int(case_options const&)> const& run)
 {
     case_options options;
     options.folder = argc > 1 ? argv[1] : ".";
     auto const* trouble = std::getenv("TROUBLE");
     options.trouble = !trouble || std::string{trouble} != "0";
-    return options;
+    try
+    {
+        auto const result = run(options);
+        std::cout << (result == exit_broken ? "broken"
+                      : result == exit_held ? "held"
+                                            : "not run")
+                  << "\n";
+        return result;
+    }
+    catch (std::exception const& error)
+    {
+        std::cerr << error.what() << "\n";
+        return exit_not_run;
+    }
 }
 
 } // namespace auburnweir::review
--- a/review/support/deployment.hpp
+++ b/review/support/deployment.hpp
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <fstream>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -147,7 +148,8 @@
     bool trouble = true;
 };
 
-case_options options_from(int argc, char** argv);
+/// Runs a case, prints its outcome and turns exceptions into `exit_not_run`. @return the exit code
+int run_case(int argc, char** argv, std::function<int(case_options const&)> const& run);
 
 } // namespace auburnweir::review
 
