--- a/review/2/restored_after_kill.cpp
+++ b/review/2/restored_after_kill.cpp
@@ -166,6 +166,7 @@
         log.line("no request was answered after the disruption");
         return exit_not_run;
     }
+    system.record_runs();
     return count_contradictions(system.duty_calls(), log) > 0 ? exit_broken : exit_held;
 }
 
--- a/review/4/sound_neighbours.cpp
+++ b/review/4/sound_neighbours.cpp
@@ -47,14 +47,15 @@
         system, "later-bad", later_bad_requests, {new_template, bad_part}, later_bad_interval, 0,
         log);
     log.line("2 x contactMs after the last crash are over");
-    int served = 0;
     std::thread still_bad(
         [&] {
             send_prompts(
                 system, "last-bad", 2, {new_template, bad_part}, later_bad_interval, 1, log);
         });
-    served = send_prompts(system, "sound", sound_requests, {new_template}, sound_interval, 0, log);
+    auto const served =
+        send_prompts(system, "sound", sound_requests, {new_template}, sound_interval, 0, log);
     still_bad.join();
+    engines.record_runs();
     log.line(
         "sound requests answered at the first attempt: " + std::to_string(usual) + " of " +
         std::to_string(sound_requests) + " before, " + std::to_string(served) + " of " +
--- a/review/support/crashing_engines.cpp
+++ b/review/support/crashing_engines.cpp
@@ -66,6 +66,14 @@
         engine, {{"crash_segment", crash_ ? bad_part : ""}, {"delay_ms", request_delay_ms}});
 }
 
+void crashing_engines::restart(int engine)
+{
+    std::lock_guard lock(mutex_);
+    system_.restart_engine(engine);
+    prepare(engine);
+    system_.list_engine(engine);
+}
+
 void crashing_engines::run()
 {
     while (!stopping_)
@@ -84,14 +92,18 @@
             if (!ended_at || log_.elapsed() - *ended_at < restart_delay)
                 continue;
             ended_at.reset();
-            system_.restart_engine(i);
-            prepare(i);
-            system_.list_engine(i);
+            restart(i);
             log_.line("engine " + std::to_string(i + 1) + " is back");
         }
     }
 }
 
+void crashing_engines::record_runs() const
+{
+    std::lock_guard lock(mutex_);
+    system_.record_runs();
+}
+
 int crashing_engines::crashes() const
 {
     std::lock_guard lock(mutex_);
@@ -175,6 +187,7 @@
 
 int judge_crashes(crashing_engines const& engines, sound_clients const& clients, record& log)
 {
+    engines.record_runs();
     auto const later = engines.crashes_after_bound();
     log.line(
         "engines have crashed " + std::to_string(engines.crashes()) + " times, " +
--- a/review/support/crashing_engines.hpp
+++ b/review/support/crashing_engines.hpp
@@ -39,19 +39,23 @@
 
     int crashes() const;
 
+    /// Writes the number of requests that each engine has run to the record.
+    void record_runs() const;
+
     /// Crashes later than `contact_time` after the fifth one. Each is at least one request with the
     /// part that has reached an engine.
     int crashes_after_bound() const;
 
 private:
     void run();
+    void restart(int engine);
     void prepare(int engine) const;
 
     deployment& system_;
     bool const crash_;
     record& log_;
     std::vector<std::optional<std::chrono::milliseconds>> ended_at_;
-    mutable std::mutex mutex_;
+    mutable std::mutex mutex_; ///< guards the crashes and the engines' processes
     std::vector<std::chrono::milliseconds> crashes_;
     std::atomic<bool> stopping_{false};
     std::thread thread_;
--- a/review/support/deployment.cpp
+++ b/review/support/deployment.cpp
@@ -261,10 +261,21 @@
 json deployment::runs_of_engine(int index) const
 {
     endpoint const engine{"127.0.0.1", engines_.at(index).port};
-    auto const response = call_once(engine, {"GET", "/runs", {}, {}});
+    auto const response = call_once(engine, {"GET", "/runs", {}, {}}, std::chrono::seconds{1});
+    if (response.status != 200)
+        return json::object();
     return json::parse(response.body, nullptr, false).value("runs", json::object());
 }
 
+void deployment::record_runs() const
+{
+    for (int i = 0; i < engines(); ++i)
+        if (engines_.at(i).process)
+            log_.line(
+                "engine " + std::to_string(i + 1) + " has run " +
+                std::to_string(runs_of_engine(i).size()) + " requests since its last start");
+}
+
 void deployment::list_engine(int index, listing state)
 {
     auto const& e = engines_.at(index);
--- a/review/support/deployment.hpp
+++ b/review/support/deployment.hpp
@@ -104,9 +104,12 @@
     /// Sends a command to an engine.
     bool control_engine(int index, json const& command) const;
 
-    /// Numbers of runs by request, of one engine's process.
+    /// Numbers of runs by request, of one engine's process; empty when it doesn't answer.
     json runs_of_engine(int index) const;
 
+    /// Writes the number of requests that each engine's process has run to the record.
+    void record_runs() const;
+
     /// Writes or removes the row of an engine in the directory.
     void list_engine(int index, listing state = listing::ready);
     void remove_engine(int index);
