--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -84,6 +84,7 @@
         "requests_forwarded",
         "streams_resumed",
         "late_answers_dropped",
+        "unnamed_answers_dropped",
         "events_too_long",
         "usage_reports_sent",
         "fleet_orders_sent",
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -99,8 +99,9 @@
     prefix_hits,
     requests_forwarded,
     streams_resumed,
-    late_answers_dropped,
-    events_too_long, ///< of streams, which end the attempt
+    late_answers_dropped,    ///< responses that name another request
+    unnamed_answers_dropped, ///< responses that name no request, other than refusals
+    events_too_long,         ///< of streams, which end the attempt
     usage_reports_sent,
     fleet_orders_sent,
     store_calls,
--- a/src/transport/connection_pool.cpp
+++ b/src/transport/connection_pool.cpp
@@ -24,7 +24,6 @@
 void connection_pool::store(http_connection_ptr c)
 {
     c->idle_since = now();
-    c->is_new = false;
     last_ += coordination::idle_connection{1};
     closed_.evicted += close(idle_.add(last_, c->address, c->idle_since, c->max_idle_time));
     connections_.emplace(last_, std::move(c));
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -3,6 +3,7 @@
 #include "state/overloaded.hpp"
 #include "transport/async_signal.hpp"
 #include "transport/request_log.hpp"
+#include "transport/response_filter.hpp"
 #include "transport/response_status.hpp"
 
 #include <charconv>
@@ -243,15 +244,11 @@
     policy.cancel = cancel_;
     if (route_->retry == state::retry_rule::at_most_once)
         policy.max_idle_time = max_idle_for_at_most_once;
-    policy.owner_of = [this](int status, http_fields const& fields)
-    {
-        auto const response = context_.ports.dialect.decode_response(status, fields);
-        if (response.request == forwarded_.id.str())
-            return response_owner::this_call;
-        // A refusal need not name the request: the server did not accept it.
-        bool const is_refusal = response.request.empty() && response.not_run;
-        return is_refusal ? response_owner::unnamed : response_owner::earlier_call;
-    };
+    trace_ = {};
+    response_filter filter(context_, forwarded_, server.listed.id, trace_);
+    policy.used_connection = &trace_.connection;
+    policy.owner_of = [&filter](int status, http_fields const& headers)
+    { return filter.owner_of(status, headers); };
 
     relay_->begin_attempt();
     ++progress_.attempts;
@@ -486,7 +483,7 @@
     state::server_view const& server, std::string_view cause, std::string_view next)
 {
     log_failed_attempt(
-        logged(), {server.listed.id, cause, next, relay_->first_event_at(), time_left()});
+        logged(), {server.listed.id, cause, next, relay_->first_event_at(), time_left(), trace_});
 }
 
 } // namespace auburnweir::transport
--- a/src/transport/forwarder.hpp
+++ b/src/transport/forwarder.hpp
@@ -77,6 +77,7 @@
     attempt_recorder recorder_;
     quarantine_gate quarantine_;
     coordination::attempt_progress progress_;
+    attempt_trace trace_;                     ///< of the last attempt
     std::optional<response_relay> relay_;     ///< set when the request is admitted
     std::optional<server_selector> selector_; ///< the same
     std::string resume_after_;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -366,6 +366,9 @@
                     open->close();
             });
     bool const response_has_no_body = message.method() == http::verb::head;
+    ++c->requests;
+    if (policy.used_connection)
+        *policy.used_connection = {c->local_port(), c->requests};
     start_write(c, std::move(message));
     for (int dropped = 0; dropped <= max_dropped_responses; ++dropped)
     {
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -97,6 +97,13 @@
     earlier_call
 };
 
+/// The connection that a call used.
+struct call_connection
+{
+    std::uint16_t local_port = 0; ///< 0: the call had no connection
+    int requests = 0;             ///< on this connection so far, the call's own included
+};
+
 /// Timeouts, connection use and cancellation of a call.
 struct call_policy
 {
@@ -112,6 +119,9 @@
     std::function<response_owner(int status, http_fields const&)> owner_of;
 
     std::shared_ptr<call_cancellation> cancel;
+
+    /// Set before the request is written; null: not wanted.
+    call_connection* used_connection = nullptr;
 };
 
 /// Limits for reading the rest of a response's body.
--- a/src/transport/http_connection.hpp
+++ b/src/transport/http_connection.hpp
@@ -34,6 +34,14 @@
         return !is_idle;
     }
 
+    /// 0 when the connection is closed.
+    std::uint16_t local_port()
+    {
+        error_code error;
+        auto const local = stream.socket().local_endpoint(error);
+        return error ? std::uint16_t{0} : local.port();
+    }
+
     void close()
     {
         error_code ignored;
@@ -45,7 +53,7 @@
     beast::flat_buffer buffer;
     io_timeout timeout;
     bool write_pending = false; ///< the request is not completely written
-    bool is_new = true;         ///< has not been idle yet
+    int requests = 0;           ///< written on it so far, each at least in part
     state::time_point idle_since{};
     state::duration max_idle_time = std::chrono::hours{1};
 };
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -151,11 +151,16 @@
          "an attempt at a backend server failed; `next` names the next step, `segments` the "
          "deepest "
          "four shared segments of the prompt, `answering_ms` how long the stream had sent events "
-         "(empty: none yet)"},
+         "(empty: none yet), `connection` the local port (0: none), `connection_request` the "
+         "number of requests on it so far, `status` that of the response (0: none), `named` "
+         "whether it names `this` request, an `other` one or `none`"},
         {e::caller_left, l::info, "caller_left",
          "a caller closed its connection; its request was cancelled"},
         {e::answer_broken_off, l::warning, "answer_broken_off",
          "a response ended early after its beginning had been forwarded"},
+        {e::response_dropped, l::warning, "response_dropped",
+         "a response was dropped, as it is not that of the request that waits on its connection; "
+         "fields as in `attempt_failed`"},
         {e::lease_taken, l::info, "lease_taken",
          "this instance has acquired the lease on the duties"},
         {e::lease_lost, l::info, "lease_lost",
--- a/src/transport/log.hpp
+++ b/src/transport/log.hpp
@@ -65,6 +65,7 @@
     attempt_failed = 4003,
     caller_left = 4004,
     answer_broken_off = 4005,
+    response_dropped = 4006,
     lease_taken = 5001,
     lease_lost = 5002,
     usage_reported = 5003,
--- a/src/transport/request_log.cpp
+++ b/src/transport/request_log.cpp
@@ -35,6 +35,12 @@
     return request.route ? request.route->id.str() : "";
 }
 
+/// What the response names; empty without a response.
+std::string named_text(attempt_trace const& trace)
+{
+    return trace.named ? std::string{name_of(*trace.named)} : "";
+}
+
 std::string after_text(logged_request const& request)
 {
     return milliseconds_text(now() - request.arrived_at);
@@ -85,12 +91,29 @@
          {"send", std::to_string(request.sends)},
          {"cause", std::string{attempt.cause}},
          {"next", std::string{attempt.next}},
+         {"connection", std::to_string(attempt.trace.connection.local_port)},
+         {"connection_request", std::to_string(attempt.trace.connection.requests)},
+         {"status", std::to_string(attempt.trace.status)},
+         {"named", named_text(attempt.trace)},
          {"segments", shared_segments_text(request.request)},
          {"answering_ms", began_at ? milliseconds_text(now() - *began_at) : ""},
          {"after_ms", after_text(request)},
          {"left_ms", milliseconds_text(attempt.time_left)}});
 }
 
+void log_dropped_response(
+    state::forwarded_request const& waiting, state::backend_id const& server,
+    attempt_trace const& response)
+{
+    log(log_event::response_dropped,
+        {{"request", waiting.id.str()},
+         {"backend", server.str()},
+         {"connection", std::to_string(response.connection.local_port)},
+         {"connection_request", std::to_string(response.connection.requests)},
+         {"status", std::to_string(response.status)},
+         {"named", named_text(response)}});
+}
+
 void log_broken_off(
     logged_request const& request, state::refusal_reason reason, std::string const& last_event)
 {
--- a/src/transport/request_log.hpp
+++ b/src/transport/request_log.hpp
@@ -1,10 +1,12 @@
 #ifndef AUBURNWEIR_TRANSPORT_REQUEST_LOG_HPP
 #define AUBURNWEIR_TRANSPORT_REQUEST_LOG_HPP
 
+#include "coordination/response_attribution.hpp"
 #include "protocol/problem.hpp"
 #include "state/forwarded_request.hpp"
 #include "state/route_set.hpp"
 #include "state/server_table.hpp"
+#include "transport/http_client.hpp"
 
 #include <optional>
 #include <string>
@@ -29,6 +31,14 @@
     state::duration age{0};
 };
 
+/// What ties an attempt's response to the attempt.
+struct attempt_trace
+{
+    call_connection connection;
+    int status = 0;                                   ///< 0: no response
+    std::optional<coordination::response_name> named; ///< null: no response
+};
+
 /// A failed attempt and the step after it.
 struct logged_attempt
 {
@@ -37,6 +47,7 @@
     std::string_view next;
     std::optional<state::time_point> first_event_at;
     state::duration time_left{0};
+    attempt_trace trace;
 };
 
 void log_finished(
@@ -50,6 +61,11 @@
 
 void log_failed_attempt(logged_request const& request, logged_attempt const& attempt);
 
+/// Logs that a response was dropped, as it is not that of the attempt on its connection.
+void log_dropped_response(
+    state::forwarded_request const& waiting, state::backend_id const& server,
+    attempt_trace const& response);
+
 void log_broken_off(
     logged_request const& request, state::refusal_reason reason, std::string const& last_event);
 
--- /dev/null
+++ b/tests/integration/gateway_refusal_test.cpp
@@ -0,0 +1,102 @@
+#include "support/gateway_deployment.hpp"
+#include "support/temporary_file.hpp"
+
+#include <fstream>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace auburnweir::tests
+{
+namespace
+{
+
+constexpr std::string_view unnamed_refusal = "HTTP/1.1 503 Busy\r\nAuburnweir-Not-Executed: 1\r\n"
+                                             "Content-Length: 0\r\n\r\n";
+
+/// `{id}` is that of the earlier request on the connection.
+constexpr std::string_view named_misdirection =
+    "HTTP/1.1 421 Misdirected Request\r\nAuburnweir-Not-Executed: 1\r\n"
+    "Auburnweir-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n";
+
+/// Real processes whose backend servers send a copy of an earlier refusal ahead of the answers to
+/// requests on connections in use again.
+class gateway_refusal_test : public testing::Test
+{
+protected:
+    explicit gateway_refusal_test(int backends = 2)
+        : backends_(backends)
+    {
+    }
+
+    static gateway_deployment_plan plan(int backends, std::string const& logs)
+    {
+        gateway_deployment_plan result;
+        result.backends = backends;
+        result.log_folder = logs;
+        return result;
+    }
+
+    void control(json const& body)
+    {
+        for (int i = 0; i < backends_; ++i)
+            gateway_deployment::control(system.backend(i), body);
+    }
+
+    /// Sends requests one after the other, so that they use kept connections.
+    void send_requests(std::string const& path, std::string const& prefix, int count)
+    {
+        for (int i = 0; i < count; ++i)
+        {
+            auto const id = prefix + std::to_string(i);
+            check_outcome(id, system.send_request(path, id));
+        }
+    }
+
+    /// Checks that the request ran at most once, and not at all if the response promises so.
+    void check_outcome(std::string const& id, received_response const& response)
+    {
+        auto const runs = system.run_count(id);
+        EXPECT_LE(runs, 1) << id << ": TWICE";
+        bool const promises = response.status == 503;
+        EXPECT_TRUE(!promises || runs == 0) << id << ": REFUSED";
+        answered_ += response.status == 200 ? 1 : 0;
+    }
+
+    /// Lines of the gateway's log with this event.
+    std::vector<json> logged(std::string const& event) const
+    {
+        std::vector<json> found;
+        std::ifstream lines(logs_.path() + "/gateway-1.log");
+        for (std::string line; std::getline(lines, line);)
+            if (line.find("\"" + event + "\"") != std::string::npos)
+                found.push_back(json::parse(line));
+        return found;
+    }
+
+    int answered() const { return answered_; }
+
+private:
+    int backends_;
+    int answered_ = 0;
+    temporary_folder logs_;
+
+protected:
+    gateway_deployment system{plan(backends_, logs_.path())};
+};
+
+TEST_F(gateway_refusal_test, log_of_refused_attempt_names_its_connection_and_response)
+{
+    control({{"not_run", true}, {"names_refusals", true}});
+    EXPECT_EQ(system.send_request("/once/x", "n0").status, 503);
+    std::this_thread::sleep_for(std::chrono::milliseconds{200});
+    auto const lines = logged("attempt_failed");
+    ASSERT_FALSE(lines.empty());
+    EXPECT_EQ(lines.front()["request"], "n0");
+    EXPECT_EQ(lines.front()["connection_request"], "1");
+    EXPECT_NE(lines.front()["connection"], "0");
+    EXPECT_EQ(lines.front()["status"], "503");
+    EXPECT_EQ(lines.front()["named"], "this");
+}
+
+} // namespace
+} // namespace auburnweir::tests
--- a/tools/standins/http_standin.hpp
+++ b/tools/standins/http_standin.hpp
@@ -42,6 +42,7 @@
 {
     transport::response_writer& writer;
     beast::tcp_stream& stream;
+    std::string& last_request; ///< id of the request before this one, as the handler has set it
 
     /// Closes the connection with a TCP reset.
     void reset()
--- a/tools/standins/routed_backend.cpp
+++ b/tools/standins/routed_backend.cpp
@@ -18,7 +18,7 @@
 
 constexpr int crash_exit_code = 3;
 
-/// Replaced by the request's attempt id in what is sent in place of a header.
+/// Replaced by a request's attempt id in what is sent as it is, without framing.
 constexpr char const* id_placeholder = "{id}";
 
 class routed_backend
@@ -81,6 +81,8 @@
     {
         auto const attempt = request.header("Auburnweir-Attempt-Id");
         auto const expected_id = request.header("Auburnweir-Expected-Instance");
+        co_await send_late_response(connection);
+        connection.last_request = attempt;
         if (refused_ports_.erase(caller_port(connection)) > 0)
             co_await connection.writer.send(not_executed_response(503));
         if (repeat_refusals_ && not_run_)
@@ -88,6 +90,8 @@
         if (not_run_ || (!expected_id.empty() && expected_id != id_))
         {
             auto response = not_executed_response(not_run_ ? 503 : 421);
+            if (names_refusals_)
+                response.headers.emplace_back("Auburnweir-Attempt-Id", attempt);
             if (endless_)
                 co_await send_body_without_end(std::move(response), connection);
             else
@@ -141,6 +145,22 @@
         co_await connection.writer.send(std::move(response));
     }
 
+    /// Sends the bytes of `late_response` ahead of the response to a request that is not the first
+    /// on its connection.
+    net::awaitable<void> send_late_response(standin_connection& connection)
+    {
+        if (late_response_.empty() || connection.last_request.empty())
+            co_return;
+        auto bytes = late_response_;
+        auto const id = bytes.find(id_placeholder);
+        if (id != std::string::npos)
+            bytes.replace(id, std::string_view{id_placeholder}.size(), connection.last_request);
+        boost::system::error_code ignored;
+        co_await net::async_write(
+            connection.stream.socket(), net::buffer(bytes),
+            net::redirect_error(net::use_awaitable, ignored));
+    }
+
     net::awaitable<void> send_body_without_end(
         transport::caller_response response, standin_connection& connection)
     {
@@ -235,6 +255,8 @@
         cut_ = protocol::flag_at(*body, "cut", cut_);
         repeat_refusals_ = protocol::flag_at(*body, "repeat_refusals", repeat_refusals_);
         unframed_ = protocol::flag_at(*body, "unframed", unframed_);
+        names_refusals_ = protocol::flag_at(*body, "names_refusals", names_refusals_);
+        late_response_ = protocol::text_at(*body, "late_response", late_response_);
         if (body->contains("endless"))
             endless_ = decode_endless(*body);
         co_await send_status(connection, 200);
@@ -256,6 +278,8 @@
     bool cut_ = false;
     bool unframed_ = false;
     bool repeat_refusals_ = false;
+    bool names_refusals_ = false;
+    std::string late_response_; ///< a copy of an earlier response, with the id of its request
     std::set<std::uint16_t> refused_ports_; ///< of callers that get the refusal once more
     std::optional<endless_bytes> endless_;
 };
