Take an unnamed refusal for the next request's on no connection in use again

Cause: a refusal without a name counted for the request that waited on its connection. Class: a response matched by its position. Change: on a connection that has carried another request, a refusal has to name its request. An unnamed one there is dropped, and the named response is waited for. On a connection of its own the request can't be mistaken, so an unnamed refusal counts there. A server that never names its refusals makes such requests wait for their deadline on kept connections; the platform's servers name all responses.

--- a/src/coordination/response_attribution.cpp
+++ b/src/coordination/response_attribution.cpp
@@ -21,8 +21,8 @@
 {
     if (evidence.name == response_name::this_request)
         return own_response{};
-    // A refusal need not name the request: the server did not accept it.
-    if (evidence.name == response_name::none && evidence.states_not_run)
+    bool const is_only_request = evidence.requests_on_connection == 1;
+    if (evidence.name == response_name::none && evidence.states_not_run && is_only_request)
         return own_response{false};
     return foreign_response{};
 }
--- a/src/coordination/response_attribution.hpp
+++ b/src/coordination/response_attribution.hpp
@@ -22,7 +22,8 @@
 struct response_evidence
 {
     response_name name = response_name::none;
-    bool states_not_run = false; ///< states that the request was not run and will not be
+    bool states_not_run = false;    ///< states that the request was not run and will not be
+    int requests_on_connection = 1; ///< so far, that of the waiting attempt included
 };
 
 /// The response is that of the attempt which waits on the connection.
@@ -39,6 +40,9 @@
 using response_attribution = std::variant<own_response, foreign_response>;
 
 /// Decides whether a response belongs to the attempt that waits on its connection.
+///
+/// A position on a connection proves nothing once the connection has carried another request: the
+/// response may be a late copy of an earlier one. There a response has to name its request.
 response_attribution attribute_response(response_evidence const& evidence);
 
 } // namespace auburnweir::coordination
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -100,7 +100,7 @@
     requests_forwarded,
     streams_resumed,
     late_answers_dropped,    ///< responses that name another request
-    unnamed_answers_dropped, ///< responses that name no request, other than refusals
+    unnamed_answers_dropped, ///< responses that name no request and may be an earlier one's
     events_too_long,         ///< of streams, which end the attempt
     usage_reports_sent,
     fleet_orders_sent,
--- a/src/transport/response_filter.cpp
+++ b/src/transport/response_filter.cpp
@@ -28,6 +28,7 @@
     coordination::response_evidence evidence;
     evidence.name = *trace_.named;
     evidence.states_not_run = response.not_run;
+    evidence.requests_on_connection = trace_.connection.requests;
     return std::visit(
         state::overloaded{
             [](coordination::own_response const& own) {
--- a/tests/integration/gateway_refusal_test.cpp
+++ b/tests/integration/gateway_refusal_test.cpp
@@ -98,5 +98,24 @@
     EXPECT_EQ(lines.front()["named"], "this");
 }
 
+// Guards against REFUSED and TWICE: an unnamed copy of a refusal after a response with a name.
+TEST_F(gateway_refusal_test, unnamed_refusal_on_kept_connection_is_not_the_next_requests)
+{
+    control({{"late_response", unnamed_refusal}});
+    for (auto const* path : {"/once/x", "/flow/stream/x"})
+        send_requests(path, std::string{path[1]}, 10);
+    EXPECT_EQ(answered(), 20);
+}
+
+// Guards against REFUSED and TWICE: as above, where the responses before were refusals.
+TEST_F(gateway_refusal_test, unnamed_copy_of_named_refusal_is_not_the_next_requests)
+{
+    control({{"not_run", true}, {"names_refusals", true}});
+    send_requests("/once/x", "r", 4);
+    control({{"not_run", false}, {"late_response", unnamed_refusal}});
+    send_requests("/once/x", "s", 10);
+    EXPECT_EQ(answered(), 10);
+}
+
 } // namespace
 } // namespace auburnweir::tests
