Use no connection again for a request that was refused on it

Cause: attempts of one request bear the same id. Where the directory lists one address under two ids, as when a server was just replaced there, the refusal (421) of the first attempt and the second attempt used one connection: a late copy of the refusal bore the right name and counted for the second attempt. Change: a connection remembers the requests that were refused on it (64 at most, then it is closed) and is not used for them again.

--- a/src/transport/connection_pool.cpp
+++ b/src/transport/connection_pool.cpp
@@ -7,7 +7,8 @@
 namespace auburnweir::transport
 {
 
-http_connection_ptr connection_pool::take(state::endpoint const& to, state::duration max_idle_time)
+http_connection_ptr connection_pool::take(
+    state::endpoint const& to, state::duration max_idle_time, state::request_id const& request)
 {
     while (auto const number = idle_.take(to))
     {
@@ -15,7 +16,8 @@
         auto c = std::move(found->second);
         connections_.erase(found);
         auto const idle = now() - c->idle_since;
-        if (idle <= max_idle_time && idle <= c->max_idle_time && !c->is_stale())
+        bool const is_usable = idle <= max_idle_time && idle <= c->max_idle_time;
+        if (is_usable && !c->has_refused(request) && !c->is_stale())
             return c;
     }
     return nullptr;
--- a/src/transport/connection_pool.hpp
+++ b/src/transport/connection_pool.hpp
@@ -29,8 +29,10 @@
 
     /// Takes the connection to an endpoint that was used last; null when none can be used.
     /// @param max_idle_time  connections that were idle for longer are not used
+    /// @param request        nor are those on which it was refused; empty: has no name
     http_connection_ptr take(
-        auburnweir::state::endpoint const& to, auburnweir::state::duration max_idle_time);
+        auburnweir::state::endpoint const& to, auburnweir::state::duration max_idle_time,
+        auburnweir::state::request_id const& request);
 
     void store(http_connection_ptr c);
 
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -242,6 +242,7 @@
     policy.header_timeout = time_left();
     policy.connect_timeout = context_.settings.connect_timeout;
     policy.cancel = cancel_;
+    policy.request = forwarded_.id;
     if (route_->retry == state::retry_rule::at_most_once)
         policy.max_idle_time = max_idle_for_at_most_once;
     trace_ = {};
@@ -290,6 +291,7 @@
     recorder_.record_statements(server, backend_values);
     if (backend_values.not_run)
     {
+        response.record_refusal(forwarded_.id);
         co_await response.discard_rest();
         recorder_.record_end(server, server_outcome::refused);
         bool const misdirected = status == status_misdirected;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -226,6 +226,14 @@
     }
 }
 
+void http_stream::record_refusal(auburnweir::state::request_id const& request)
+{
+    auto& refused = state_->connection->refused;
+    refused.push_back(request);
+    if (refused.size() > http_connection::max_refused_requests)
+        state_->may_reuse_connection = false;
+}
+
 net::awaitable<void> http_stream::discard_rest()
 {
     body_limits limits;
@@ -329,8 +337,9 @@
     state::endpoint to, http_request request, call_policy policy)
 {
     auto const deadline = now() + policy.header_timeout;
-    auto c =
-        policy.use == connection_use::reuse_idle ? pool_.take(to, policy.max_idle_time) : nullptr;
+    auto c = policy.use == connection_use::reuse_idle
+                 ? pool_.take(to, policy.max_idle_time, policy.request)
+                 : nullptr;
     if (!c)
     {
         auto connected =
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -115,6 +115,9 @@
     /// A connection that has been idle for longer is not used.
     auburnweir::state::duration max_idle_time = std::chrono::hours{1};
 
+    /// Name of the request. Connections on which it was refused before are not used; empty: none.
+    auburnweir::state::request_id request;
+
     /// Tells late responses to earlier calls, which are dropped; empty: there are none.
     std::function<response_owner(int status, http_fields const&)> owner_of;
 
@@ -159,6 +162,10 @@
     /// Reads the rest of the body into memory.
     net::awaitable<http_result<std::string>> read_rest(body_limits limits);
 
+    /// Records that the response states that the request was not run. Another attempt of the
+    /// request will not use this connection, where a copy of the response may follow.
+    void record_refusal(auburnweir::state::request_id const& request);
+
     /// Reads and drops the rest of a short body, so that the connection can be used again. Closes
     /// the connection instead if the body is not complete soon.
     net::awaitable<void> discard_rest();
--- a/src/transport/http_connection.hpp
+++ b/src/transport/http_connection.hpp
@@ -2,10 +2,13 @@
 #define AUBURNWEIR_TRANSPORT_HTTP_CONNECTION_HPP
 
 #include "state/configuration.hpp"
+#include "state/ids.hpp"
 #include "transport/clock.hpp"
 #include "transport/io_timeout.hpp"
 
+#include <algorithm>
 #include <sys/socket.h>
+#include <vector>
 
 namespace auburnweir::transport
 {
@@ -16,6 +19,9 @@
     static constexpr std::size_t read_buffer_bytes = 2048;
     static constexpr std::size_t max_header_bytes = 16384;
 
+    /// A connection with more refused requests is closed.
+    static constexpr std::size_t max_refused_requests = 64;
+
     http_connection(net::io_context& io, state::endpoint to)
         : stream(io)
         , address(std::move(to))
@@ -34,6 +40,12 @@
         return !is_idle;
     }
 
+    /// True when a copy of the refusal of an earlier attempt may arrive for a new one.
+    bool has_refused(state::request_id const& request) const
+    {
+        return std::ranges::find(refused, request) != refused.end();
+    }
+
     /// 0 when the connection is closed.
     std::uint16_t local_port()
     {
@@ -52,8 +64,9 @@
     state::endpoint address;
     beast::flat_buffer buffer;
     io_timeout timeout;
-    bool write_pending = false; ///< the request is not completely written
-    int requests = 0;           ///< written on it so far, each at least in part
+    bool write_pending = false;             ///< the request is not completely written
+    int requests = 0;                       ///< written on it so far, each at least in part
+    std::vector<state::request_id> refused; ///< requests that the server said it has not run
     state::time_point idle_since{};
     state::duration max_idle_time = std::chrono::hours{1};
 };
--- a/tests/integration/gateway_refusal_test.cpp
+++ b/tests/integration/gateway_refusal_test.cpp
@@ -117,5 +117,44 @@
     EXPECT_EQ(answered(), 10);
 }
 
+/// One server under two ids, as when it was replaced at its address a moment ago.
+class gateway_replaced_server_test : public gateway_refusal_test
+{
+protected:
+    gateway_replaced_server_test()
+        : gateway_refusal_test(1)
+    {
+        json const entry{{"service", "desk"},
+                         {"address", "127.0.0.1:" + std::to_string(system.backend(0).port())},
+                         {"zone", "domain-1"},
+                         {"version", "v1"},
+                         {"slots", 8},
+                         {"state", "ready"},
+                         {"coldRemainingMs", 0},
+                         {"sequence", 1},
+                         {"born", 900}};
+        json const row{{"table", "servers"}, {"key", "replaced"}, {"value", entry.dump()}};
+        gateway_deployment::control(system.store(), {{"put", json::array({row})}});
+        std::this_thread::sleep_for(std::chrono::milliseconds{1000});
+    }
+
+    /// Longer than a server that refused a request is avoided.
+    static constexpr std::chrono::milliseconds pause{350};
+};
+
+// Guards against REFUSED: a named copy of the refusal of an earlier attempt of the same request.
+TEST_F(gateway_replaced_server_test, refusal_of_earlier_attempt_is_not_the_next_attempts)
+{
+    control({{"names_refusals", true}, {"late_response", named_misdirection}});
+    for (int i = 0; i < 10; ++i)
+    {
+        send_requests("/once/x", "t" + std::to_string(i), 1);
+        std::this_thread::sleep_for(pause);
+    }
+    EXPECT_EQ(answered(), 10);
+    EXPECT_GT(
+        system.counter(0, "auburnweir_retries_total{reason=\"other_backend_at_address\"}"), 0);
+}
+
 } // namespace
 } // namespace auburnweir::tests
