Treat a header that is joined from two responses as lost

Cause: a copy that breaks off within a line of its header is followed by the true response; the parser read one header, with the copy's status and not-executed mark and the true response's name. The name tied nothing. Class: a response matched by what its connection delivers next. Change: a status line within a header's reason or values makes the response lost: it may have run, nothing is promised and nothing of it is relayed. Other places of a cut are no HTTP and were lost before.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,7 +1,9 @@
 #include "transport/http_client.hpp"
 
+#include "protocol/status_line.hpp"
 #include "transport/http_connection.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace auburnweir::transport
@@ -56,6 +58,20 @@
         std::chrono::duration<double>(seconds * usable_idle_share));
 }
 
+std::string_view view_of(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+/// Whether the header began as that of a response that broke off and goes on as the next one's.
+bool is_joined_from_two(http::response_header<> const& header)
+{
+    return protocol::contains_status_line(view_of(header.reason())) ||
+           std::ranges::any_of(
+               header, [](auto const& field)
+               { return protocol::contains_status_line(view_of(field.value())); });
+}
+
 } // namespace
 
 struct http_stream::state
@@ -298,6 +314,8 @@
     bool const timed_out = c.timeout.end();
     if (error)
         co_return error_for(timed_out);
+    if (is_joined_from_two(s.parser.get()))
+        co_return http_error::response_lost;
     if (s.parser.get().result_int() < first_final_status)
         co_return response_owner::earlier_call;
     auto owner = response_owner::this_call;
--- a/tests/integration/gateway_refusal_test.cpp
+++ b/tests/integration/gateway_refusal_test.cpp
@@ -117,6 +117,18 @@
     EXPECT_EQ(answered(), 10);
 }
 
+// Guards against REFUSED and TWICE: a copy without an end that the true answer completes.
+TEST_F(gateway_refusal_test, header_completed_by_the_next_answer_is_no_refusal)
+{
+    for (std::string const cut :
+         {"HTTP/1.1 503 Busy\r\nAuburnweir-Not-Executed: 1\r\nAuburnweir-Instance-Load: 1,",
+          "HTTP/1.1 421 Misdir", "HTTP/1.1 503 Busy\r\nAuburnweir-Not-Executed: "})
+    {
+        control({{"late_response", cut}});
+        send_requests("/once/x", "c" + std::to_string(cut.size()) + "-", 10);
+    }
+}
+
 /// One server under two ids, as when it was replaced at its address a moment ago.
 class gateway_replaced_server_test : public gateway_refusal_test
 {
--- a/tests/integration/http_client_test.cpp
+++ b/tests/integration/http_client_test.cpp
@@ -208,6 +208,23 @@
     }
 }
 
+// Guards against MIXED and REFUSED: the head of a copy that breaks off, completed by the answer.
+TEST_F(http_client_test, header_joined_from_two_responses_is_lost)
+{
+    std::string const answer = "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 1\r\n\r\nb";
+    std::string const copy = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nLoad: 1,0\r\n\r\n";
+    for (std::size_t cut = 1; cut + 1 < copy.size(); ++cut)
+    {
+        scripted_server server(
+            [&](tcp::socket& s)
+            {
+                scripted_server::read_request_header(s);
+                scripted_server::send(s, copy.substr(0, cut) + answer);
+            });
+        EXPECT_EQ(call(server, accept_id("b")).error, http_error::response_lost) << cut;
+    }
+}
+
 TEST_F(http_client_test, interim_responses_before_response_are_skipped)
 {
     scripted_server server(
