Give each operation of a plain service its own connection

Cause: idempotent operations used kept connections, and plain services don't name the request that they answer: a second copy of an answer, or of a refusal, was the next one's. Evidence: answer_after_repeated_answer_is_its_own got an earlier answer for 4 of 8 look-ups on the code before. Change: operations, idempotent or not, use a connection of their own, as those that run once did before. Cost: one connection an idempotent operation, not measured.

--- a/src/transport/operation_caller.cpp
+++ b/src/transport/operation_caller.cpp
@@ -113,11 +113,12 @@
     auto timeout = context_.settings.stall_timeout;
     if (deadline_)
         timeout = std::clamp(*deadline_ - now(), min_attempt_timeout, timeout);
-    auto const use = idempotent ? connection_use::reuse_idle : connection_use::new_connection;
     auto& tables = context_.tables;
     tables.counters.increment(state::event_counter::backend_attempts);
     tables.backends.record_sent(backend.id, routing_.prompt);
-    auto response = co_await worker_.http().call(server->address, std::move(call), timeout, use);
+    // Plain services don't name the request that they answer; only the connection tells.
+    auto response = co_await worker_.http().call(
+        server->address, std::move(call), timeout, connection_use::new_connection);
     tables.backends.record_end(backend.id);
     if (response)
         co_return classify_response(backend, response.value(), idempotent);
--- a/tests/integration/operations_test.cpp
+++ b/tests/integration/operations_test.cpp
@@ -26,6 +26,13 @@
             system->entry_port(entry), "POST", "/v1/services/booking/" + operation, headers, body);
     }
 
+    received_response look_up(std::string const& id, std::string const& body)
+    {
+        return call(
+            system->entry_port(0), "POST", "/v1/services/booking/availability",
+            with_bearer_token({{"X-Request-Id", id}}), body);
+    }
+
     void set_service_faults(json const& fault)
     {
         for (int i = 0; i < 2; ++i)
@@ -66,6 +73,18 @@
     EXPECT_EQ(system->run_count("k"), 1);
 }
 
+// Guards against MIXED: a second copy of an answer, ahead of the connection's next answer.
+TEST_F(operations_test, answer_after_repeated_answer_is_its_own)
+{
+    deploy();
+    set_service_faults({{"repeat_answers", true}});
+    for (int i = 0; i < 8; ++i)
+    {
+        auto const body = "date " + std::to_string(i);
+        EXPECT_EQ(protocol::text_at(look_up("a" + std::to_string(i), body).parsed(), "echo"), body);
+    }
+}
+
 TEST_F(operations_test, reused_key_with_different_body_is_refused)
 {
     deploy();
--- a/tools/standins/http_standin.cpp
+++ b/tools/standins/http_standin.cpp
@@ -22,7 +22,7 @@
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer(max_request_bytes);
     transport::response_writer writer(stream, write_timeout);
-    std::string last_request;
+    std::string last_exchange;
     while (stream.socket().is_open() && writer.keeps_alive())
     {
         http::request_parser<http::string_body> parser;
@@ -34,7 +34,7 @@
             co_return;
         auto request = parser.release();
         writer.keep_alive(request.keep_alive());
-        standin_connection connection{writer, stream, last_request};
+        standin_connection connection{writer, stream, last_exchange};
         standin_request incoming{
             std::string{request.method_string()}, std::string{request.target()}, request.base(),
             std::move(request.body())};
--- a/tools/standins/http_standin.hpp
+++ b/tools/standins/http_standin.hpp
@@ -42,7 +42,7 @@
 {
     transport::response_writer& writer;
     beast::tcp_stream& stream;
-    std::string& last_request; ///< id of the request before this one, as the handler has set it
+    std::string& last_exchange; ///< what the handler keeps of the request before this one
 
     /// Closes the connection with a TCP reset.
     void reset()
--- a/tools/standins/routed_backend.cpp
+++ b/tools/standins/routed_backend.cpp
@@ -82,7 +82,7 @@
         auto const attempt = request.header("Auburnweir-Attempt-Id");
         auto const expected_id = request.header("Auburnweir-Expected-Instance");
         co_await send_late_response(connection);
-        connection.last_request = attempt;
+        connection.last_exchange = attempt;
         if (refused_ports_.erase(caller_port(connection)) > 0)
             co_await connection.writer.send(not_executed_response(503));
         if (repeat_refusals_ && not_run_)
@@ -149,12 +149,12 @@
     /// on its connection.
     net::awaitable<void> send_late_response(standin_connection& connection)
     {
-        if (late_response_.empty() || connection.last_request.empty())
+        if (late_response_.empty() || connection.last_exchange.empty())
             co_return;
         auto bytes = late_response_;
         auto const id = bytes.find(id_placeholder);
         if (id != std::string::npos)
-            bytes.replace(id, std::string_view{id_placeholder}.size(), connection.last_request);
+            bytes.replace(id, std::string_view{id_placeholder}.size(), connection.last_exchange);
         boost::system::error_code ignored;
         co_await net::async_write(
             connection.stream.socket(), net::buffer(bytes),
--- a/tools/standins/service.cpp
+++ b/tools/standins/service.cpp
@@ -59,7 +59,11 @@
             connection.reset();
             co_return;
         }
-        co_await send_json(connection, 200, response_body(request, run_key, run_number));
+        auto const body = response_body(request, run_key, run_number);
+        if (repeat_answers_ && !connection.last_exchange.empty())
+            co_await send_json(connection, 200, *protocol::parse_json(connection.last_exchange));
+        connection.last_exchange = protocol::dump(body);
+        co_await send_json(connection, 200, body);
     }
 
     static json response_body(
@@ -83,6 +87,7 @@
         delay_ms_ = protocol::integer_at(*body, "delay_ms", delay_ms_);
         refuse_status_ = protocol::integer_at(*body, "refuse_status", refuse_status_);
         not_run_ = protocol::flag_at(*body, "not_run", not_run_);
+        repeat_answers_ = protocol::flag_at(*body, "repeat_answers", repeat_answers_);
         cut_after_effect_ = protocol::flag_at(*body, "cut_after_effect", cut_after_effect_);
         co_await send_status(connection, 200);
     }
@@ -100,6 +105,7 @@
     std::int64_t delay_ms_ = 0;
     std::int64_t refuse_status_ = 0;
     bool not_run_ = false;
+    bool repeat_answers_ = false; ///< sends each answer once more, ahead of the connection's next
     bool cut_after_effect_ = false;
 };
 
