Say that an operation did not run only if no attempt may have run

Cause: the outcome of the last attempt was that of the operation. An attempt that was lost, followed by one that was refused or found no server, ended as not run. Class: a conclusion about one attempt taken for all of them. Evidence: operation_lost_at_one_server_and_refused_by_another_is_of_unknown_outcome failed for 3 of 8 operations on the code before. Change: an operation of which an attempt may have run ends as outcome_unknown. Measured: 21 of 21 tests of operations_test pass.

--- a/src/transport/operation_caller.cpp
+++ b/src/transport/operation_caller.cpp
@@ -60,7 +60,7 @@
     {
         auto const backend = choose_backend();
         if (!backend)
-            co_return coordination::backend_did_not_run{};
+            co_return outcome_of_all(coordination::backend_did_not_run{});
         auto result = co_await attempt(*backend, idempotent);
         if (!result.failure)
         {
@@ -74,6 +74,7 @@
 
         bool const not_run =
             std::holds_alternative<coordination::backend_did_not_run>(result.outcome);
+        may_have_run_ = may_have_run_ || !not_run;
         coordination::failed_attempt failed;
         failed.service = request_.header.service;
         failed.cause = *result.failure;
@@ -87,12 +88,20 @@
         if (auto const* stop = std::get_if<coordination::give_up>(&decision))
         {
             tables.counters.increment(stop->reason);
-            co_return std::move(result.outcome);
+            co_return outcome_of_all(std::move(result.outcome));
         }
         co_await sleep_for(worker_.io(), std::get<coordination::retry_after>(decision).delay);
     }
 }
 
+operation_outcome operation_caller::outcome_of_all(operation_outcome last) const
+{
+    bool const last_did_not_run = std::holds_alternative<coordination::backend_did_not_run>(last);
+    if (may_have_run_ && last_did_not_run)
+        return coordination::backend_response_lost{};
+    return last;
+}
+
 net::awaitable<operation_caller::attempt_result> operation_caller::attempt(
     state::backend_view backend, bool idempotent)
 {
--- a/src/transport/operation_caller.hpp
+++ b/src/transport/operation_caller.hpp
@@ -35,6 +35,10 @@
     };
 
     net::awaitable<attempt_result> attempt(state::backend_view backend, bool idempotent);
+    /// The operation's outcome when the last attempt ended in `last`: that it did not run is true
+    /// only if no attempt may have run.
+    operation_outcome outcome_of_all(operation_outcome last) const;
+
     std::optional<state::backend_view> choose_backend();
     attempt_result classify_response(
         state::backend_view const& backend, http_response& response, bool idempotent);
@@ -44,6 +48,7 @@
     state::operation_request const& request_;
     std::optional<state::time_point> deadline_;
     coordination::routing_request routing_;
+    bool may_have_run_ = false; ///< in an attempt so far
 };
 
 } // namespace auburnweir::transport
--- a/tests/integration/operations_test.cpp
+++ b/tests/integration/operations_test.cpp
@@ -85,6 +85,24 @@
     }
 }
 
+// Guards against a false "not run": an attempt that was lost, then one that did not run.
+TEST_F(operations_test, operation_lost_at_one_server_and_refused_by_another_is_of_unknown_outcome)
+{
+    deploy();
+    deployment::control(system->service(0), {{"cut_after_effect", true}});
+    deployment::control(system->service(1), {{"not_run", true}});
+    int lost = 0;
+    for (int i = 0; i < 8; ++i)
+    {
+        auto const id = "l" + std::to_string(i);
+        auto const response = look_up(id, "date");
+        bool const has_run = system->run_count(id) > 0;
+        lost += has_run ? 1 : 0;
+        EXPECT_TRUE(!has_run || response.run_outcome() != "not_run") << id;
+    }
+    EXPECT_GT(lost, 0);
+}
+
 TEST_F(operations_test, reused_key_with_different_body_is_refused)
 {
     deploy();
