Claim of no failed chat that it did not run

Cause: a chat that failed before its first token was always said not to have run. Class: a conclusion without a tie to its attempts; those may even have been another instance's. Evidence: chat_that_fails_without_tokens_at_a_working_engine_is_of_unknown_outcome failed on the code before (504, not_run, with an engine at work). Change: such chats end as outcome_unknown.

--- a/src/transport/answer_stream.cpp
+++ b/src/transport/answer_stream.cpp
@@ -45,7 +45,9 @@
 net::awaitable<bool> refuse_failed_answer(caller_call& call, state::journal_ptr journal)
 {
     auto const reason = journal->failure().value_or(state::refusal_reason::backend_failed);
-    protocol::problem p{reason, state::run_outcome::not_run, "no backend server answered", {}, {}};
+    // The attempts may have been those of another instance, so none is known not to have run.
+    protocol::problem p{
+        reason, state::run_outcome::outcome_unknown, "no backend server answered", {}, {}};
     p.request = journal->request().header.id;
     p.retry_after = failed_answer_retry_delay;
     co_return co_await refuse(call, std::move(p));
--- a/tests/integration/answers_test.cpp
+++ b/tests/integration/answers_test.cpp
@@ -51,6 +51,24 @@
     std::optional<deployment> system;
 };
 
+// Guards against a false "not run": an engine works on a chat that fails before its first token.
+TEST_F(answers_test, chat_that_fails_without_tokens_at_a_working_engine_is_of_unknown_outcome)
+{
+    deploy();
+    for (int i = 0; i < system->engines(); ++i)
+        deployment::control(system->engine(i), {{"stall_after", 0}});
+    auto headers = with_bearer_token({{"X-Request-Id", "r1"}});
+    headers.emplace_back("X-Deadline-Ms", "800");
+    auto const response = call(
+        system->entry_port(0), "POST", "/v1/chat/completions", headers,
+        chat_body("hello", answer_tokens, false));
+    std::int64_t started = 0;
+    for (int i = 0; i < system->engines(); ++i)
+        started += deployment::statistic(system->engine(i), "started");
+    EXPECT_GT(started, 0);
+    EXPECT_EQ(response.run_outcome(), "outcome_unknown") << response.body;
+}
+
 TEST_F(answers_test, stream_without_faults_is_complete)
 {
     deploy();
