--- a/tests/integration/store_client_test.cpp
+++ b/tests/integration/store_client_test.cpp
@@ -51,6 +51,23 @@
     state::counters counters_;
 };
 
+// Guards against ONE: a copy of the response to an earlier write taken for the lease's renewal.
+TEST_F(store_client_test, write_answered_with_version_that_it_replaces_is_not_applied)
+{
+    scripted_server server(
+        [](tcp::socket& s)
+        {
+            scripted_server::read_request_header(s);
+            scripted_server::send(s, response(200, 7));
+            scripted_server::read_request_header(s);
+            scripted_server::send(s, response(200, 7));
+        });
+    EXPECT_TRUE(std::holds_alternative<write_applied>(write(server, 3)));
+    auto const second = write(server, 7);
+    ASSERT_TRUE(std::holds_alternative<store_error>(second));
+    EXPECT_EQ(std::get<store_error>(second), store_error::unreachable);
+}
+
 // Guards against ONE: an error that does not say whether the write was applied.
 TEST_F(store_client_test, write_counts_as_refused_only_where_the_store_says_so)
 {
