Let the soak's backends send copies of refusals ahead of their responses

Change: three disruptions, with a generator of their own: refusals without a name, with the name of the connection's earlier request, and the start of a refusal.

--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -24,6 +24,9 @@
 constexpr int memory_limit_megabytes = 64;
 
 constexpr std::size_t endless_part_bytes = 4096;
+
+/// Start of the copy of a refusal that a backend sends ahead of its responses.
+constexpr std::string_view copied_refusal = "HTTP/1.1 503 Busy\r\nAuburnweir-Not-Executed: 1\r\n";
 constexpr int trickle_pause_ms = 50;
 
 constexpr int injected_delay_ms = 600;
@@ -355,6 +358,20 @@
         faults = {{"not_run", true}, {"endless", "x"}, {"endless_pause_ms", trickle_pause_ms}};
         no_faults = {{"not_run", false}, {"endless", ""}};
         break;
+    case backend_fault::unnamed_copies:
+        faults = {{"late_response", std::string{copied_refusal} + "Content-Length: 0\r\n\r\n"}};
+        no_faults = {{"late_response", ""}};
+        break;
+    case backend_fault::named_copies:
+        faults = {
+            {"late_response", std::string{copied_refusal} + "Auburnweir-Attempt-Id: {id}\r\n" +
+                                  "Content-Length: 0\r\n\r\n"}};
+        no_faults = {{"late_response", ""}};
+        break;
+    case backend_fault::cut_copies:
+        faults = {{"late_response", std::string{copied_refusal} + "Auburnweir-Instance-Load: 1,"}};
+        no_faults = {{"late_response", ""}};
+        break;
     }
     set_temporarily(
         f.duration_ms, faults, no_faults,
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -101,21 +101,30 @@
 constexpr char const* link_names[] = {"gateway-store", "gateway-backend", "caller-gateway"};
 constexpr char const* link_fault_names[] = {"delayed", "reset", "refused", "silent", "one-way"};
 constexpr char const* store_fault_names[] = {"down", "slow", "answers-lost", "history-dropped"};
-constexpr char const* backend_fault_names[] = {"failing", "full",    "cut",       "torn",
-                                               "slow",    "endless", "trickling", "full-endless"};
+constexpr char const* backend_fault_names[] = {
+    "failing",      "full",           "cut",          "torn",      "slow", "endless", "trickling",
+    "full-endless", "unnamed-copies", "named-copies", "cut-copies"};
 
-/// Adds faults to a plan. They have a generator of their own, so that the seeds that failed in the
-/// past still give the other faults of their plans.
-void add_endless_responses(
-    std::vector<planned_fault>& plan, std::uint64_t seed, soak_size const& size)
+/// Kinds of disruption from `first` to `last`, at `mean_gap_ms` after one another.
+struct disruption_series
 {
-    constexpr double mean_endless_gap_ms = 3000;
-    std::mt19937_64 random(~seed);
-    std::exponential_distribution<> gap_ms(1 / mean_endless_gap_ms);
+    backend_fault first;
+    backend_fault last;
+    double mean_gap_ms;
+};
+
+/// Adds disruptions of backends to a plan. Each series has a generator of its own, so that the
+/// seeds that failed in the past still give the other faults of their plans.
+void add_disruptions(
+    std::vector<planned_fault>& plan, std::uint64_t generator_seed, disruption_series const& series,
+    soak_size const& size)
+{
+    std::mt19937_64 random(generator_seed);
+    std::exponential_distribution<> gap_ms(1 / series.mean_gap_ms);
     std::uniform_int_distribution<> backend(0, size.backends - 1);
     std::uniform_int_distribution<> duration_ms(min_duration_ms, max_duration_ms);
     std::uniform_int_distribution<> fault(
-        static_cast<int>(backend_fault::endless), static_cast<int>(backend_fault::full_endless));
+        static_cast<int>(series.first), static_cast<int>(series.last));
     double at = start_delay_ms + gap_ms(random);
     for (; at < size.fault_phase_ms; at += min_gap_ms + gap_ms(random))
     {
@@ -127,6 +136,11 @@
         plan.begin(), plan.end(), [](auto const& a, auto const& b) { return a.at_ms < b.at_ms; });
 }
 
+constexpr disruption_series endless_responses{
+    backend_fault::endless, backend_fault::full_endless, 3000};
+constexpr disruption_series copied_refusals{
+    backend_fault::unnamed_copies, backend_fault::cut_copies, 2000};
+
 /// Adds returns of the store to a copy, with a generator of their own for the same reason.
 void add_restores(std::vector<planned_fault>& plan, std::uint64_t seed, soak_size const& size)
 {
@@ -155,8 +169,9 @@
     for (int at = start_delay_ms + generator.gap_ms(); at < size.fault_phase_ms;
          at += std::max(min_gap_ms, generator.gap_ms()))
         plan.push_back({at, generator.next()});
-    add_endless_responses(plan, seed, size);
+    add_disruptions(plan, ~seed, endless_responses, size);
     add_restores(plan, seed, size);
+    add_disruptions(plan, ~seed * 2 + 3, copied_refusals, size);
     return plan;
 }
 
--- a/tests/soak/soak_plan.hpp
+++ b/tests/soak/soak_plan.hpp
@@ -91,9 +91,12 @@
     cut,     ///< runs the request and closes the connection
     torn,    ///< closes streams in the middle of an event
     slow,
-    endless,     ///< sends bytes without end in place of its responses' bodies
-    trickling,   ///< the same, a byte at a time
-    full_endless ///< refuses, and sends bytes without end in its refusals' bodies
+    endless,        ///< sends bytes without end in place of its responses' bodies
+    trickling,      ///< the same, a byte at a time
+    full_endless,   ///< refuses, and sends bytes without end in its refusals' bodies
+    unnamed_copies, ///< sends a refusal without a name ahead of its responses
+    named_copies,   ///< sends a refusal of the connection's earlier request ahead of its responses
+    cut_copies      ///< sends the start of a refusal ahead of its responses
 };
 
 struct disrupt_backend
