Give servers that name no refusal a connection a request, and wait less for them

Since an unnamed refusal on a connection in use again proves nothing, requests that such a server refuses there wait until their deadline, though a caller could be refused or served elsewhere. A request that may run again is lost at the ambiguous response and sent elsewhere; one that runs once waits for its named response.

--- a/src/coordination/response_attribution.hpp
+++ b/src/coordination/response_attribution.hpp
@@ -1,7 +1,10 @@
 #ifndef AUBURNWEIR_COORDINATION_RESPONSE_ATTRIBUTION_HPP
 #define AUBURNWEIR_COORDINATION_RESPONSE_ATTRIBUTION_HPP
 
+#include "state/time.hpp"
+
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <variant>
 
@@ -32,12 +35,17 @@
     bool may_reuse_connection = true;
 };
 
-/// The response is not, or can't be told from one that is not. It is dropped.
+/// The response is that of another request.
 struct foreign_response
 {
 };
 
-using response_attribution = std::variant<own_response, foreign_response>;
+/// The response may be that of the attempt or of another one.
+struct ambiguous_response
+{
+};
+
+using response_attribution = std::variant<own_response, foreign_response, ambiguous_response>;
 
 /// Decides whether a response belongs to the attempt that waits on its connection.
 ///
@@ -45,6 +53,11 @@
 /// response may be a late copy of an earlier one. There a response has to name its request.
 response_attribution attribute_response(response_evidence const& evidence);
 
+/// Whether requests to a server get a connection each, as its refusals name none.
+/// @param unnamed_refusal_at  when the server last sent a refusal without a name; null: never
+bool needs_own_connection(
+    std::optional<state::time_point> unnamed_refusal_at, state::time_point now);
+
 } // namespace auburnweir::coordination
 
 #endif
--- a/src/state/server_table.cpp
+++ b/src/state/server_table.cpp
@@ -314,6 +314,14 @@
     return v;
 }
 
+void server_table::record_unnamed_refusal(backend_id const& id, time_point now)
+{
+    ranked_lock lock(mutex_);
+    auto const it = entries_.find(id);
+    if (it != entries_.end())
+        it->second.view.unnamed_refusal_at = now;
+}
+
 void server_table::eject(backend_id const& id, time_point until)
 {
     ranked_lock lock(mutex_);
--- a/src/state/server_table.hpp
+++ b/src/state/server_table.hpp
@@ -62,8 +62,9 @@
     int ejections = 0;
     std::optional<time_point> ejected_until;
     time_point first_listed_at{};
-    time_point refused_at{};  ///< when the server last refused a request
-    double failure_share = 0; ///< of recent requests, exponentially smoothed
+    time_point refused_at{};                      ///< when the server last refused a request
+    std::optional<time_point> unnamed_refusal_at; ///< when a refusal last named no request
+    double failure_share = 0;                     ///< of recent requests, exponentially smoothed
     /// Set for a server that is no longer listed after a store outage: until when it is used.
     std::optional<time_point> missing_until;
     std::optional<send_limit> limit; ///< that the server's last answer named
@@ -142,6 +143,9 @@
 
     std::optional<server_view> view(backend_id const& id) const;
 
+    /// Records that a refusal of the server named no request.
+    void record_unnamed_refusal(backend_id const& id, time_point now);
+
     /// Records the rate that an answer of this incarnation named; null: none.
     /// @return whether it differs from the last one
     bool record_limit(
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -246,7 +246,9 @@
     if (route_->retry == state::retry_rule::at_most_once)
         policy.max_idle_time = max_idle_for_at_most_once;
     trace_ = {};
-    response_filter filter(context_, forwarded_, server.listed.id, trace_);
+    response_filter filter(context_, forwarded_, server.listed.id, route_->retry, trace_);
+    if (coordination::needs_own_connection(server.unnamed_refusal_at, now()))
+        policy.use = connection_use::new_connection;
     policy.used_connection = &trace_.connection;
     policy.owner_of = [&filter](int status, http_fields const& headers)
     { return filter.owner_of(status, headers); };
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -321,6 +321,8 @@
     auto owner = response_owner::this_call;
     if (policy.owner_of)
         owner = policy.owner_of(s.parser.get().result_int(), s.parser.get().base());
+    if (owner == response_owner::unknown)
+        co_return http_error::response_lost;
     if (owner != response_owner::earlier_call)
         co_return owner;
     ++late_responses_;
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -94,7 +94,8 @@
     /// The response names no call and is taken for this one's. Its connection is not used again, as
     /// a copy of it would be taken for the response to the next call.
     unnamed,
-    earlier_call
+    earlier_call,
+    unknown ///< the call counts as lost
 };
 
 /// The connection that a call used.
--- a/src/transport/response_filter.cpp
+++ b/src/transport/response_filter.cpp
@@ -1,6 +1,7 @@
 #include "transport/response_filter.hpp"
 
 #include "state/overloaded.hpp"
+#include "transport/clock.hpp"
 
 namespace auburnweir::transport
 {
@@ -29,21 +30,28 @@
     evidence.name = *trace_.named;
     evidence.states_not_run = response.not_run;
     evidence.requests_on_connection = trace_.connection.requests;
+    if (evidence.name == response_name::none && evidence.states_not_run)
+        context_.tables.servers.record_unnamed_refusal(server_, now());
     return std::visit(
         state::overloaded{
             [](coordination::own_response const& own) {
                 return own.may_reuse_connection ? response_owner::this_call
                                                 : response_owner::unnamed;
             },
-            [this](coordination::foreign_response const&)
-            {
-                record_dropped();
-                return response_owner::earlier_call;
-            }},
+            [this](coordination::foreign_response const&) { return drop(); },
+            [this](coordination::ambiguous_response const&) { return owner_of_ambiguous(); }},
         coordination::attribute_response(evidence));
 }
 
-void response_filter::record_dropped()
+response_owner response_filter::owner_of_ambiguous()
+{
+    // Sending a request again that may run again is faster than waiting for a named response.
+    if (rule_ != state::retry_rule::at_most_once)
+        return response_owner::unknown;
+    return drop();
+}
+
+response_owner response_filter::drop()
 {
     bool const is_named = trace_.named == response_name::other_request;
     context_.tables.counters.increment(
@@ -52,6 +60,7 @@
     log_dropped_response(request_, server_, trace_);
     trace_.status = 0;
     trace_.named.reset();
+    return response_owner::earlier_call;
 }
 
 } // namespace auburnweir::transport
--- a/src/transport/response_filter.hpp
+++ b/src/transport/response_filter.hpp
@@ -13,13 +13,15 @@
 class response_filter
 {
 public:
+    /// @param rule   of the request's route
     /// @param trace  gets what the response names; outlives the filter
     response_filter(
         gateway_context& context, state::forwarded_request const& request,
-        state::backend_id const& server, attempt_trace& trace)
+        state::backend_id const& server, state::retry_rule rule, attempt_trace& trace)
         : context_(context)
         , request_(request)
         , server_(server)
+        , rule_(rule)
         , trace_(trace)
     {
     }
@@ -27,11 +29,13 @@
     response_owner owner_of(int status, http_fields const& headers);
 
 private:
-    void record_dropped();
+    response_owner drop();
+    response_owner owner_of_ambiguous();
 
     gateway_context& context_;
     state::forwarded_request const& request_;
     state::backend_id const& server_;
+    state::retry_rule rule_;
     attempt_trace& trace_;
 };
 
--- a/tests/integration/gateway_refusal_test.cpp
+++ b/tests/integration/gateway_refusal_test.cpp
@@ -2,6 +2,7 @@
 #include "support/temporary_file.hpp"
 
 #include <fstream>
+#include <future>
 #include <gtest/gtest.h>
 #include <thread>
 
@@ -52,6 +53,20 @@
         }
     }
 
+    /// Makes the gateway keep some `count` connections, by as many requests at the same time.
+    void keep_connections(int count)
+    {
+        control({{"delay_ms", 200}});
+        std::vector<std::future<void>> pending;
+        for (int i = 0; i < count; ++i)
+            pending.push_back(std::async(
+                std::launch::async,
+                [this, i] { system.send_request("/once/x", "k" + std::to_string(i)); }));
+        for (auto& p : pending)
+            p.get();
+        control({{"delay_ms", 0}});
+    }
+
     /// Checks that the request ran at most once, and not at all if the response promises so.
     void check_outcome(std::string const& id, received_response const& response)
     {
@@ -117,6 +132,33 @@
     EXPECT_EQ(answered(), 10);
 }
 
+// Guards against waits: servers that name none of their refusals, on connections in use again.
+TEST_F(gateway_refusal_test, requests_that_servers_refuse_without_names_are_refused_at_once)
+{
+    // One wait a server, until its first refusal without a name is known.
+    constexpr int max_waits = 2;
+    constexpr int requests = 8;
+    keep_connections(16);
+    control({{"not_run", true}});
+    int refused = 0;
+    for (int i = 0; i < requests; ++i)
+    {
+        header_list const headers{{"Auburnweir-Deadline-Ms", "800"}};
+        auto const response = system.send_request("/once/x", "w" + std::to_string(i), headers);
+        refused += response.status == 503 ? 1 : 0;
+    }
+    EXPECT_GE(refused, requests - max_waits);
+}
+
+// Guards against waits: as above, where requests may run again.
+TEST_F(gateway_refusal_test, idempotent_requests_do_not_wait_after_unnamed_refusals)
+{
+    send_requests("/safe/x", "i", 8);
+    gateway_deployment::control(system.backend(0), {{"not_run", true}});
+    for (int i = 0; i < 8; ++i)
+        EXPECT_EQ(system.send_request("/safe/x", "j" + std::to_string(i)).status, 200);
+}
+
 // Guards against REFUSED and TWICE: a copy without an end that the true answer completes.
 TEST_F(gateway_refusal_test, header_completed_by_the_next_answer_is_no_refusal)
 {
