Show that a chat gets no copy of an earlier chat's answer

Change: the stand-in sends an answer once more, ahead of the connection's next; a test. Measured: the test passes without a change of the program: a connection is closed after each chat's answer. Conclusion: sound; the test stays as a guard.

--- a/tests/integration/answers_test.cpp
+++ b/tests/integration/answers_test.cpp
@@ -69,6 +69,21 @@
     EXPECT_EQ(response.run_outcome(), "outcome_unknown") << response.body;
 }
 
+// Guards against MIXED: a second copy of a chat's answer, ahead of the connection's next answer.
+TEST_F(answers_test, chat_after_repeated_answer_gets_its_own)
+{
+    deploy();
+    for (int i = 0; i < system->engines(); ++i)
+        deployment::control(system->engine(i), {{"repeat_answers", true}, {"token_us", 0}});
+    for (int i = 0; i < 8; ++i)
+    {
+        auto const content = "question " + std::to_string(i);
+        auto answer = start_stream(0, content, "r" + std::to_string(i));
+        answer.read_to_end();
+        EXPECT_EQ(answer.text(), expected(content));
+    }
+}
+
 TEST_F(answers_test, stream_without_faults_is_complete)
 {
     deploy();
--- a/tools/standins/engine.cpp
+++ b/tools/standins/engine.cpp
@@ -32,6 +32,7 @@
     std::int64_t stall_after = -1; ///< tokens after which each stream stalls; negative: never
     std::int64_t refuse_status = 0;
     bool leaving = false;
+    bool repeat_answers = false; ///< sends each answer once more, ahead of the connection's next
 };
 
 struct statistics
@@ -212,10 +213,32 @@
             co_await transport::sleep_for(io_, slot_poll_interval);
         --queued_;
         ++running_;
+        if (settings_.repeat_answers && !connection.last_exchange.empty())
+            co_await send_copy(connection.last_exchange, connection);
+        connection.last_exchange = whole_answer(*request);
         co_await generate(*request, incoming.header("X-Attempt-Id"), connection);
         --running_;
     }
 
+    static std::string whole_answer(engine_request const& request)
+    {
+        std::string events;
+        for (std::uint64_t i = 1; i <= request.max_tokens; ++i)
+            events += token_event(answer_token(request.prompt, request.partial_answer_tokens + i));
+        return events + finish_events();
+    }
+
+    static net::awaitable<void> send_copy(std::string events, standin_connection& connection)
+    {
+        std::string const copy = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                                 "Content-Length: " +
+                                 std::to_string(events.size()) + "\r\n\r\n" + events;
+        boost::system::error_code ignored;
+        co_await net::async_write(
+            connection.stream.socket(), net::buffer(copy),
+            net::redirect_error(net::use_awaitable, ignored));
+    }
+
     net::awaitable<void> generate(
         engine_request request, std::string attempt, standin_connection& connection)
     {
@@ -335,6 +358,7 @@
         s.stall_after = protocol::integer_at(*body, "stall_after", s.stall_after);
         s.refuse_status = protocol::integer_at(*body, "refuse_status", s.refuse_status);
         s.leaving = protocol::flag_at(*body, "leaving", s.leaving);
+        s.repeat_answers = protocol::flag_at(*body, "repeat_answers", s.repeat_answers);
         co_await send_status(connection, 200);
     }
 
