Give each call of the table service a connection, and bound remembered refusals in bytes

Callers could see an operation run twice, or get the answer of another one: the entry program matched responses of the platform's table service and object store by their position on a kept connection. After a repeated response each later call got the one before: a write counted as done that was never made, a read got another key's row, an object another's content.

Change: connection_use::own_connection, a new connection that no other call uses and that ends with a reset, so that it holds no port.

Refused ids on a kept connection were remembered as text, bounded in number alone; callers choose their length.

Not measured: the cost of a connection a call.

--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -103,6 +103,7 @@
         "idle_connections_evicted",
         "idle_connections_to_gone_servers",
         "idle_connections_ended",
+        "connections_full_of_refusals",
         "descriptors_exhausted",
         "directory_rows_held_back",
     };
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -118,9 +118,10 @@
     idle_connections_expired,
     idle_connections_evicted, ///< too many, or their descriptors were needed
     idle_connections_to_gone_servers,
-    idle_connections_ended,   ///< by the server
-    descriptors_exhausted,    ///< failures to accept a connection
-    directory_rows_held_back, ///< in each reading, rows of a copy that may list gone servers
+    idle_connections_ended,       ///< by the server
+    connections_full_of_refusals, ///< closed, as more refused requests are not remembered
+    descriptors_exhausted,        ///< failures to accept a connection
+    directory_rows_held_back,     ///< in each reading, rows of a copy that may list gone servers
     count_
 };
 
--- a/src/transport/connection_keeper.cpp
+++ b/src/transport/connection_keeper.cpp
@@ -61,6 +61,8 @@
     counters.increment(counter::idle_connections_evicted, closed.evicted);
     counters.increment(counter::idle_connections_to_gone_servers, closed.unused);
     counters.increment(counter::idle_connections_ended, closed.ended);
+    counters.increment(
+        counter::connections_full_of_refusals, of.http().take_connections_full_of_refusals());
 }
 
 coordination::descriptor_shares own_descriptor_shares()
--- a/src/transport/connection_pool.cpp
+++ b/src/transport/connection_pool.cpp
@@ -17,7 +17,7 @@
         connections_.erase(found);
         auto const idle = now() - c->idle_since;
         bool const is_usable = idle <= max_idle_time && idle <= c->max_idle_time;
-        if (is_usable && !c->has_refused(request) && !c->is_stale())
+        if (is_usable && !c->refused.contains(request) && !c->is_stale())
             return c;
     }
     return nullptr;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -98,6 +98,7 @@
     http::response_parser<http::buffer_body> parser;
     std::array<char, read_buffer_bytes> bytes{};
     bool may_reuse_connection = true;
+    bool is_own = false; ///< the connection is for this call alone
 
     /// Parses the received data and stores body bytes in `bytes`. @return their number
     std::size_t parse_received(error_code& error);
@@ -119,6 +120,8 @@
             connection->max_idle_time = max_idle_time_from(parser.get().base());
             client.idle().store(std::move(connection));
         }
+        else if (connection && is_own)
+            connection->abort();
         else if (connection)
             connection->close();
         connection.reset();
@@ -245,9 +248,11 @@
 void http_stream::record_refusal(auburnweir::state::request_id const& request)
 {
     auto& refused = state_->connection->refused;
-    refused.push_back(request);
-    if (refused.size() > http_connection::max_refused_requests)
-        state_->may_reuse_connection = false;
+    refused.add(request);
+    if (!refused.is_full())
+        return;
+    state_->may_reuse_connection = false;
+    ++state_->client.connections_full_of_refusals_;
 }
 
 net::awaitable<void> http_stream::discard_rest()
@@ -413,7 +418,8 @@
             s->connection.reset();
             continue;
         }
-        s->may_reuse_connection = owner.value() == response_owner::this_call;
+        s->is_own = policy.use == connection_use::own_connection;
+        s->may_reuse_connection = owner.value() == response_owner::this_call && !s->is_own;
         s->parser.eager(true);
         s->cancel = policy.cancel;
         co_return http_stream{std::move(s)};
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -51,13 +51,15 @@
     std::string body;
 };
 
-/// Whether a call may use an idle connection. The server may have closed an idle connection, and
-/// then it is unknown whether it accepted the call; calls that must not be retried use a new
-/// connection.
+/// Which connection a call uses. The server may have closed an idle connection, and then it is
+/// unknown whether it accepted the call; calls that must not be retried use a new connection.
 enum class connection_use
 {
     reuse_idle,
-    new_connection
+    new_connection,
+    /// As `new_connection`, and no other call uses it: for responses that name no call, where a
+    /// copy of one would be taken for the response to the next.
+    own_connection
 };
 
 /// Cancels a call, for example when its caller disconnects. Not thread-safe: used by one worker
@@ -202,6 +204,12 @@
 
     connection_pool& idle() { return pool_; }
 
+    /// Number of connections closed since the last call, as too many requests were refused on them.
+    std::uint64_t take_connections_full_of_refusals()
+    {
+        return std::exchange(connections_full_of_refusals_, 0);
+    }
+
     /// Number of connections opened since the start.
     std::uint64_t connections_opened() const { return connections_opened_; }
 
@@ -223,6 +231,7 @@
     net::io_context& io_;
     std::uint64_t connections_opened_ = 0;
     std::uint64_t late_responses_ = 0;
+    std::uint64_t connections_full_of_refusals_ = 0;
     connection_pool pool_;
 };
 
--- a/src/transport/http_connection.hpp
+++ b/src/transport/http_connection.hpp
@@ -1,14 +1,12 @@
 #ifndef AUBURNWEIR_TRANSPORT_HTTP_CONNECTION_HPP
 #define AUBURNWEIR_TRANSPORT_HTTP_CONNECTION_HPP
 
+#include "coordination/refused_requests.hpp"
 #include "state/configuration.hpp"
-#include "state/ids.hpp"
 #include "transport/clock.hpp"
 #include "transport/io_timeout.hpp"
 
-#include <algorithm>
 #include <sys/socket.h>
-#include <vector>
 
 namespace auburnweir::transport
 {
@@ -19,9 +17,6 @@
     static constexpr std::size_t read_buffer_bytes = 2048;
     static constexpr std::size_t max_header_bytes = 16384;
 
-    /// A connection with more refused requests is closed.
-    static constexpr std::size_t max_refused_requests = 64;
-
     http_connection(net::io_context& io, state::endpoint to)
         : stream(io)
         , address(std::move(to))
@@ -40,12 +35,6 @@
         return !is_idle;
     }
 
-    /// True when a copy of the refusal of an earlier attempt may arrive for a new one.
-    bool has_refused(state::request_id const& request) const
-    {
-        return std::ranges::find(refused, request) != refused.end();
-    }
-
     /// 0 when the connection is closed.
     std::uint16_t local_port()
     {
@@ -60,13 +49,23 @@
         stream.socket().close(ignored);
     }
 
+    /// Closes with a reset, which leaves no port in TIME_WAIT. Only after a complete response.
+    void abort()
+    {
+        error_code ignored;
+        stream.socket().set_option(net::socket_base::linger(true, 0), ignored);
+        close();
+    }
+
     beast::tcp_stream stream;
     state::endpoint address;
     beast::flat_buffer buffer;
     io_timeout timeout;
-    bool write_pending = false;             ///< the request is not completely written
-    int requests = 0;                       ///< written on it so far, each at least in part
-    std::vector<state::request_id> refused; ///< requests that the server said it has not run
+    bool write_pending = false; ///< the request is not completely written
+    int requests = 0;           ///< written on it so far, each at least in part
+
+    /// A copy of the refusal of an earlier attempt may arrive for a new one.
+    coordination::refused_requests refused;
     state::time_point idle_since{};
     state::duration max_idle_time = std::chrono::hours{1};
 };
--- a/src/transport/operation_caller.cpp
+++ b/src/transport/operation_caller.cpp
@@ -127,7 +127,7 @@
     tables.backends.record_sent(backend.id, routing_.prompt);
     // Plain services don't name the request that they answer; only the connection tells.
     auto response = co_await worker_.http().call(
-        server->address, std::move(call), timeout, connection_use::new_connection);
+        server->address, std::move(call), timeout, connection_use::own_connection);
     tables.backends.record_end(backend.id);
     if (response)
         co_return classify_response(backend, response.value(), idempotent);
--- a/src/transport/platform_client.cpp
+++ b/src/transport/platform_client.cpp
@@ -70,7 +70,7 @@
     call.target = "/table/transact";
     call.content_type = "application/json";
     call.body = protocol::encode_transaction(writes);
-    auto const response = co_await http_.call(address_, std::move(call), timeout_);
+    auto const response = co_await call_alone(std::move(call));
     if (!response && response.error() == http_error::connect_failed)
         co_return same_result_for_all(writes.size(), state::write_refused{});
     if (!response)
@@ -92,7 +92,7 @@
 {
     http_request call;
     call.target = "/table/row?key=" + protocol::url_encoded(key.str());
-    auto const response = co_await http_.call(address_, std::move(call), timeout_);
+    auto const response = co_await call_alone(std::move(call));
     if (!response)
         co_return state::read_failed{};
     if (response.value().status == http_not_found)
@@ -105,22 +105,26 @@
     co_return std::move(rows.value().front());
 }
 
-net::awaitable<std::optional<std::string>> platform_client::fetch(std::string target)
+net::awaitable<http_result<http_response>> platform_client::call_alone(http_request request)
+{
+    co_return co_await http_.call(
+        address_, std::move(request), timeout_, connection_use::own_connection);
+}
+
+std::optional<std::string> platform_client::body_of(http_result<http_response> response)
 {
-    http_request call;
-    call.target = std::move(target);
-    auto response = co_await http_.call(address_, std::move(call), timeout_);
     if (!response || response.value().status != http_ok)
-        co_return std::nullopt;
-    co_return std::move(response.value().body);
+        return std::nullopt;
+    return std::move(response.value().body);
 }
 
 net::awaitable<std::optional<std::vector<state::table_row>>> platform_client::scan(
     std::string prefix, std::string after, std::size_t max_rows)
 {
-    auto const body = co_await fetch(
-        "/table/scan?prefix=" + protocol::url_encoded(prefix) +
-        "&after=" + protocol::url_encoded(after) + "&limit=" + std::to_string(max_rows));
+    http_request call;
+    call.target = "/table/scan?prefix=" + protocol::url_encoded(prefix) +
+                  "&after=" + protocol::url_encoded(after) + "&limit=" + std::to_string(max_rows);
+    auto const body = body_of(co_await call_alone(std::move(call)));
     if (!body)
         co_return std::nullopt;
     auto rows = protocol::decode_rows(*body);
@@ -136,14 +140,16 @@
     call.target = "/objects/" + protocol::url_encoded(name);
     call.content_type = "application/octet-stream";
     call.body = std::move(content);
-    auto const response = co_await http_.call(address_, std::move(call), timeout_);
+    auto const response = co_await call_alone(std::move(call));
     co_return response &&
         (response.value().status == http_ok || response.value().status == http_created);
 }
 
 net::awaitable<std::optional<std::string>> platform_client::read_object(std::string name)
 {
-    co_return co_await fetch("/objects/" + protocol::url_encoded(name));
+    http_request call;
+    call.target = "/objects/" + protocol::url_encoded(name);
+    co_return body_of(co_await call_alone(std::move(call)));
 }
 
 net::awaitable<std::optional<instance_list>> platform_client::read_instances(
@@ -166,7 +172,9 @@
 
 net::awaitable<std::optional<std::vector<protocol::reclaim_notice>>> platform_client::read_notices()
 {
-    auto const body = co_await fetch("/notices");
+    http_request call;
+    call.target = "/notices";
+    auto const body = body_of(co_await http_.call(address_, std::move(call), timeout_));
     if (!body)
         co_return std::nullopt;
     auto notices = protocol::decode_notices(*body);
--- a/src/transport/platform_client.hpp
+++ b/src/transport/platform_client.hpp
@@ -20,7 +20,8 @@
 };
 
 /// Client of the platform's table service, object store, instance list and notices, for one
-/// worker.
+/// worker. Responses of the table service and the object store name no call, so each of their calls
+/// has a connection of its own.
 class platform_client
 {
 public:
@@ -54,7 +55,8 @@
     net::awaitable<std::optional<std::vector<protocol::reclaim_notice>>> read_notices();
 
 private:
-    net::awaitable<std::optional<std::string>> fetch(std::string target);
+    net::awaitable<http_result<http_response>> call_alone(http_request request);
+    static std::optional<std::string> body_of(http_result<http_response> response);
 
     http_client& http_;
     state::endpoint address_;
--- a/tests/integration/http_client_test.cpp
+++ b/tests/integration/http_client_test.cpp
@@ -1,6 +1,7 @@
 #include "support/scripted_server.hpp"
 #include "transport/http_client.hpp"
 
+#include <future>
 #include <gtest/gtest.h>
 
 namespace auburnweir::tests
@@ -163,6 +164,45 @@
     EXPECT_EQ(server.connections(), 2);
 }
 
+// Guards against a copy of a response that names no call, taken for the response to the next call.
+TEST_F(http_client_test, own_connection_of_a_call_is_not_used_by_others)
+{
+    scripted_server server(
+        [](tcp::socket& s)
+        {
+            scripted_server::read_request_header(s);
+            scripted_server::send(s, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            scripted_server::read_request_header(s);
+        });
+    call_policy own;
+    own.use = transport::connection_use::own_connection;
+    EXPECT_EQ(call(server, own).body, "ok");
+    EXPECT_EQ(client_.idle().size(), 0U);
+    EXPECT_EQ(call(server).body, "ok");
+    EXPECT_EQ(server.connections(), 2);
+    client_.idle().close_all(); // The server waits for its end.
+}
+
+// Guards against calls that fail for want of a port, as each holds one for a minute after its end.
+TEST_F(http_client_test, own_connection_is_reset_after_the_response)
+{
+    std::promise<boost::system::error_code> end;
+    scripted_server server(
+        [&end](tcp::socket& s)
+        {
+            scripted_server::read_request_header(s);
+            scripted_server::send(s, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            char byte = 0;
+            boost::system::error_code error;
+            s.read_some(net::buffer(&byte, 1), error);
+            end.set_value(error);
+        });
+    call_policy own;
+    own.use = transport::connection_use::own_connection;
+    EXPECT_EQ(call(server, own).body, "ok");
+    EXPECT_EQ(end.get_future().get(), net::error::connection_reset);
+}
+
 TEST_F(http_client_test, header_without_end_is_lost)
 {
     scripted_server server([](tcp::socket& s)
