Write the entry program's log while it runs, and show it when a test fails

Operators of the entry program saw nothing of a process that was killed: it kept its log lines, errors below "error" among them, until 4 KiB had come together, and wrote none at its end. Cause: only the gateway flushed its log every 200 ms and at its end. Change: the entry program does so too. The deployments of the tests keep the processes' logs (entries: info; gateways: warning, as before) and print the last 60 lines of each when the running test has failed.

--- a/src/transport/entry_server.cpp
+++ b/src/transport/entry_server.cpp
@@ -19,6 +19,7 @@
 namespace
 {
 
+constexpr state::duration log_flush_period = std::chrono::milliseconds{200};
 constexpr state::duration activity_check_interval = std::chrono::milliseconds{20};
 constexpr state::duration housekeeping_interval = std::chrono::seconds{1};
 constexpr state::duration engine_poll_interval = std::chrono::milliseconds{500};
@@ -121,6 +122,7 @@
             tables.journals.expire(now());
             peers.close_unauthenticated(now());
         });
+    every(log_flush_period, [] { flush_log(); });
     signals.async_wait(
         [this](error_code error, int)
         {
@@ -183,6 +185,7 @@
     components_->workers.join();
     components_->peers.stop();
     log(log_event::entry_stopped, {{"instance", components_->settings.id.str()}});
+    flush_log();
 }
 
 entry_server::builder& entry_server::builder::settings(protocol::entry_settings value)
--- a/tests/integration/reclaim_test.cpp
+++ b/tests/integration/reclaim_test.cpp
@@ -262,7 +262,8 @@
     system->entry(killed).kill();
 
     EXPECT_TRUE(eventually(
-        [&] { return has_expected_answer((killed + 1) % 3, "audit", "salinity", 100); }, 40000));
+        [&] { return has_expected_answer((killed + 1) % 3, "audit", "salinity", 100); }, 40000))
+        << "entry " << killed + 1 << " was killed";
 }
 
 TEST_F(reclaim_test, deferrable_request_during_platform_outage_is_refused)
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -105,6 +105,7 @@
 deployment::~deployment()
 {
     entries_.clear();
+    print_logs_after_failure(folder_);
     std::filesystem::remove_all(folder_);
 }
 
@@ -146,6 +147,11 @@
              << "\nconcurrency = " << plan_.backend_concurrency << "\n";
 }
 
+std::string deployment::log_path(int index) const
+{
+    return folder_ + "/" + numbered_name("entry", index) + ".log";
+}
+
 void deployment::start_entry(int index)
 {
     std::map<std::string, std::string> settings{
@@ -159,7 +165,7 @@
         {"review_scan_ms", "200"},
         {"readiness_delay_ms", "100"},
         {"adopt_delay_ms", "600"},
-        {"log_level", "warning"}};
+        {"log_level", "info"}};
     for (auto const& [key, value] : plan_.entry_settings)
         settings[key] = value;
     auto const path = folder_ + "/" + numbered_name("entry", index) + ".ini";
@@ -171,6 +177,7 @@
     entries_.push_back(std::make_unique<process>(std::vector{
         program_path("auburnweir-entry"), std::string{"--settings"}, path, std::string{"--seed"},
         std::to_string(index + 1)}));
+    entries_.back()->append_output_to(log_path(index));
 }
 
 void deployment::publish_instances()
--- a/tests/support/deployment.hpp
+++ b/tests/support/deployment.hpp
@@ -44,6 +44,9 @@
     int engines() const { return static_cast<int>(engines_.size()); }
     int entries() const { return static_cast<int>(entries_.size()); }
 
+    /// Log of an entry; removed at the end.
+    std::string log_path(int index) const;
+
     std::uint16_t entry_port(int index) { return entry(index).port("callers"); }
 
     /// Sets faults of a stand-in with `POST /control`.
--- a/tests/support/gateway_deployment.cpp
+++ b/tests/support/gateway_deployment.cpp
@@ -44,9 +44,15 @@
 gateway_deployment::~gateway_deployment()
 {
     gateways_.clear();
+    print_logs_after_failure(log_folder());
     std::filesystem::remove_all(folder_);
 }
 
+std::string const& gateway_deployment::log_folder() const
+{
+    return plan_.log_folder.empty() ? folder_ : plan_.log_folder;
+}
+
 json gateway_deployment::route(std::string const& name, std::string const& kind, int attempts) const
 {
     return {
@@ -94,9 +100,7 @@
     auto new_process = std::make_unique<process>(std::vector{
         program_path("auburnweir-gateway"), std::string{"--settings"}, path, std::string{"--seed"},
         std::to_string(index + 1)});
-    if (!plan_.log_folder.empty())
-        new_process->append_output_to(
-            plan_.log_folder + "/gateway-" + std::to_string(index + 1) + ".log");
+    new_process->append_output_to(log_folder() + "/gateway-" + std::to_string(index + 1) + ".log");
     auto const callers = new_process->port("callers");
     if (is_first_start)
     {
--- a/tests/support/gateway_deployment.hpp
+++ b/tests/support/gateway_deployment.hpp
@@ -18,7 +18,7 @@
     int gateways = 1;
     int backends = 2;
     bool proxied = false;    ///< connections pass the fault-injecting proxy
-    std::string log_folder;  ///< folder for the gateways' logs; empty: logs are not written
+    std::string log_folder;  ///< for the gateways' logs; empty: warnings alone, until the end
     int failure_domains = 1; ///< gateways and backends are assigned round-robin
     std::map<std::string, std::string> settings; ///< of `[gateway]`, over the defaults
     int route_timeout_ms = 4000;
@@ -97,6 +97,7 @@
 
 private:
     std::string domain(int index) const;
+    std::string const& log_folder() const;
 
     gateway_deployment_plan plan_;
     std::string folder_;
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -3,9 +3,12 @@
 #include <array>
 #include <cerrno>
 #include <csignal>
+#include <deque>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <gtest/gtest.h>
+#include <iostream>
 #include <poll.h>
 #include <spawn.h>
 #include <sstream>
@@ -139,6 +142,29 @@
     return static_cast<int>(std::distance(begin(entries), end(entries)));
 }
 
+void print_logs_after_failure(std::string const& folder)
+{
+    if (!testing::Test::HasFailure())
+        return;
+    constexpr std::size_t max_lines = 60;
+    for (auto const& entry : std::filesystem::directory_iterator(folder))
+    {
+        if (entry.path().extension() != ".log")
+            continue;
+        std::deque<std::string> last;
+        std::ifstream file(entry.path());
+        for (std::string line; std::getline(file, line);)
+        {
+            last.push_back(std::move(line));
+            if (last.size() > max_lines)
+                last.pop_front();
+        }
+        std::cerr << "end of " << entry.path().filename().string() << ":\n";
+        for (auto const& line : last)
+            std::cerr << "  " << line << "\n";
+    }
+}
+
 void process::append_output_to(std::string const& path)
 {
     output_thread_ = std::thread(
--- a/tests/support/process.hpp
+++ b/tests/support/process.hpp
@@ -55,6 +55,9 @@
     std::thread output_thread_; ///< copies the output to a file
 };
 
+/// Prints the last lines of all `.log` files of a folder if the running test has failed.
+void print_logs_after_failure(std::string const& folder);
+
 /// Result of a program that has ended.
 struct program_result
 {
