Give each chat at an engine a connection of its own

Callers got 502 for chats that their engine ran: a chat went out on a kept connection that had carried a poll, and a copy of the poll's 404 ahead of the chat's answer was taken for the engine's refusal of the chat. Only answers had been covered (a chat's connection is closed after it); the table in DESIGN listed other statuses as "position", with no test. Change: chats and KV exports use connection_use::own_connection. A chat's connection was closed after it before, so it costs one connection more only where a poll's was idle. The stand-in keeps a poll's 404 as the response that it repeats.

--- a/src/transport/chat_driver.cpp
+++ b/src/transport/chat_driver.cpp
@@ -264,7 +264,9 @@
     auto& tables = context_.tables;
     tables.counters.increment(state::event_counter::backend_attempts);
     tables.backends.record_sent(backend.id, routing_.prompt);
-    auto opened = co_await worker_.http().open(server->address, std::move(call), read_timeout());
+    // An engine names no call in its status; only the connection tells.
+    auto opened = co_await worker_.http().open(
+        server->address, std::move(call), read_timeout(), connection_use::own_connection);
     attempt_outcome outcome = attempt_failed{state::retry_reason::connect_failed};
     if (opened)
     {
@@ -445,8 +447,8 @@
     call.target = "/v1/kv/export";
     call.content_type = "application/json";
     call.body = protocol::encode_kv_export_request(token);
-    auto const response =
-        co_await worker_.http().call(server->address, std::move(call), read_timeout());
+    auto const response = co_await worker_.http().call(
+        server->address, std::move(call), read_timeout(), connection_use::own_connection);
     if (!response || response.value().status != http_ok)
         co_return std::nullopt;
     auto const handle = protocol::decode_kv_export_response(response.value().body);
--- a/tests/integration/answers_test.cpp
+++ b/tests/integration/answers_test.cpp
@@ -84,6 +84,26 @@
     }
 }
 
+// Guards against a refusal of a chat that runs: a copy of the status of another call of the engine.
+TEST_F(answers_test, chat_after_repeated_status_of_a_poll_gets_its_own_answer)
+{
+    deployment_plan plan;
+    plan.engines = 1;
+    plan.entry_settings["workers"] = "1";
+    deploy(plan);
+    deployment::control(
+        system->engine(0), {{"repeat_answers", true}, {"reports_status", false}, {"token_us", 0}});
+    for (int i = 0; i < 4; ++i)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{700}); // for another poll
+        auto const content = "question " + std::to_string(i);
+        auto answer = start_stream(0, content, "r" + std::to_string(i));
+        answer.read_to_end();
+        EXPECT_EQ(answer.status(), 200);
+        EXPECT_EQ(answer.text(), expected(content));
+    }
+}
+
 TEST_F(answers_test, stream_without_faults_is_complete)
 {
     deploy();
--- a/tools/standins/engine.cpp
+++ b/tools/standins/engine.cpp
@@ -32,6 +32,7 @@
     std::int64_t stall_after = -1; ///< tokens after which each stream stalls; negative: never
     std::int64_t refuse_status = 0;
     bool leaving = false;
+    bool reports_status = true;  ///< false: `/status` is not found
     bool repeat_answers = false; ///< sends each answer once more, ahead of the connection's next
 };
 
@@ -214,7 +215,7 @@
         --queued_;
         ++running_;
         if (settings_.repeat_answers && !connection.last_exchange.empty())
-            co_await send_copy(connection.last_exchange, connection);
+            co_await send_bytes(connection.last_exchange, connection);
         connection.last_exchange = whole_answer(*request);
         co_await generate(*request, incoming.header("X-Attempt-Id"), connection);
         --running_;
@@ -225,17 +226,16 @@
         std::string events;
         for (std::uint64_t i = 1; i <= request.max_tokens; ++i)
             events += token_event(answer_token(request.prompt, request.partial_answer_tokens + i));
-        return events + finish_events();
+        events += finish_events();
+        return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: " +
+               std::to_string(events.size()) + "\r\n\r\n" + events;
     }
 
-    static net::awaitable<void> send_copy(std::string events, standin_connection& connection)
+    static net::awaitable<void> send_bytes(std::string bytes, standin_connection& connection)
     {
-        std::string const copy = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                                 "Content-Length: " +
-                                 std::to_string(events.size()) + "\r\n\r\n" + events;
         boost::system::error_code ignored;
         co_await net::async_write(
-            connection.stream.socket(), net::buffer(copy),
+            connection.stream.socket(), net::buffer(bytes),
             net::redirect_error(net::use_awaitable, ignored));
     }
 
@@ -329,6 +329,12 @@
 
     net::awaitable<void> send_engine_status(standin_request request, standin_connection& connection)
     {
+        if (!settings_.reports_status)
+        {
+            connection.last_exchange = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+            co_await send_status(connection, 404);
+            co_return;
+        }
         auto const after = protocol::query_value(request.target, "after");
         auto const after_sequence = after.empty() ? 0 : std::stoull(after);
         protocol::engine_status s;
@@ -359,6 +365,7 @@
         s.refuse_status = protocol::integer_at(*body, "refuse_status", s.refuse_status);
         s.leaving = protocol::flag_at(*body, "leaving", s.leaving);
         s.repeat_answers = protocol::flag_at(*body, "repeat_answers", s.repeat_answers);
+        s.reports_status = protocol::flag_at(*body, "reports_status", s.reports_status);
         co_await send_status(connection, 200);
     }
 
