Add the interfaces of request placement

Change: types for permitted failure domains, server ratings, instance ranks and evacuations; their optional elements at the end of reports and report responses; the settings that the platform's template renders. Nothing sets or uses them yet.

--- a/src/protocol/gateway_settings.cpp
+++ b/src/protocol/gateway_settings.cpp
@@ -13,6 +13,20 @@
 
 constexpr std::int64_t bytes_per_megabyte = 1'000'000;
 
+value_error read_domain_regions(settings& s, std::string const& text)
+{
+    for (auto const& item : split_list(text))
+    {
+        auto const colon = item.find(':');
+        auto const domain = item.substr(0, colon);
+        auto const region = colon == std::string::npos ? "" : item.substr(colon + 1);
+        if (domain.empty() || region.empty())
+            return "'" + item + "' is not domain:region";
+        s.domain_regions[state::failure_domain_id{domain}] = state::region_id{region};
+    }
+    return std::nullopt;
+}
+
 option_table<settings> const& gateway_options()
 {
     static option_table<settings> const table{
@@ -113,7 +127,32 @@
             "max_backend_refusal_s",
             "longest time for which a backend server that turned a request away is believed that "
             "it wants no others",
-            "300", 0.0, 86400.0, &settings::max_refusal)};
+            "300", 0.0, 86400.0, &settings::max_refusal),
+        text_option<settings>(
+            "region", "region of this instance", "", "identifier", false,
+            [](settings& s, std::string const& v) -> value_error
+            {
+                s.region = state::region_id{v};
+                return std::nullopt;
+            }),
+        text_option<settings>(
+            "domain_regions", "regions of the failure domains; servers of others have no region",
+            "", "domain:region, ...", false, read_domain_regions),
+        milliseconds_option(
+            "evacuation_bound_ms",
+            "maximum time until the servers of an evacuated failure domain get no more requests",
+            "5000", 100, 600000, &settings::evacuation_bound),
+        number_option<double, settings>(
+            "cold_overrun", "factor by which the rate that a cold server tolerates may be exceeded",
+            "1.5", 1.0, 100.0, [](settings& s, double v) { s.cold_overrun = v; }),
+        number_option<double, settings>(
+            "cold_slack", "requests in a second beyond that rate", "5", 0.0, 100000.0,
+            [](settings& s, double v) { s.cold_slack = v; }),
+        choice_option(
+            "placement",
+            "whether servers are chosen by their speed and requests by their length; automatic: "
+            "where servers report their speed or objectives compete",
+            "automatic", {"automatic", "uneven", "even"}, &settings::placement)};
     return table;
 }
 
--- a/src/protocol/gateway_settings.hpp
+++ b/src/protocol/gateway_settings.hpp
@@ -6,6 +6,7 @@
 #include "state/ids.hpp"
 #include "state/time.hpp"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -50,6 +51,12 @@
     state::duration body_timeout{0};
     state::duration segment_quarantine{0};
     state::duration max_refusal{0};
+    state::region_id region; ///< empty: unknown
+    std::map<state::failure_domain_id, state::region_id> domain_regions;
+    state::duration evacuation_bound{0};
+    double cold_overrun = 0;
+    double cold_slack = 0;
+    std::string placement; ///< `automatic`, `uneven` or `even`
 };
 
 /// Parses a text with one `[gateway]` section. All findings are appended to `out`.
--- a/src/protocol/instance_report_codec.cpp
+++ b/src/protocol/instance_report_codec.cpp
@@ -201,6 +201,145 @@
     return shares;
 }
 
+/// Servers of one message; a deployment has fewer.
+constexpr std::size_t max_servers = 4096;
+
+json encode_load(std::optional<state::server_load> const& load, state::duration age)
+{
+    if (!load)
+        return json::array();
+    return json::array(
+        {load->running, load->waiting, load->slots,
+         load->work.value_or(state::work_factor{}).count(), age.count()});
+}
+
+json encode_server_observations(state::server_observations const& observations)
+{
+    auto out = json::array();
+    for (auto const& o : observations)
+        out.push_back(
+            {o.id.str(), o.incarnation.count(), o.intervals.count, o.intervals.total.count(),
+             encode_load(o.load, o.load_age)});
+    return out;
+}
+
+state::duration read_duration(element_reader& in)
+{
+    auto const length = in.integer();
+    require(length >= 0, "duration is negative");
+    return state::duration{length};
+}
+
+std::int64_t read_count(element_reader& in)
+{
+    auto const count = in.integer();
+    require(count >= 0, "count is negative");
+    return count;
+}
+
+void read_load(json const& from, state::server_observation& out)
+{
+    if (from.empty())
+        return;
+    element_reader in(from);
+    auto& load = out.load.emplace();
+    load.running = read_count(in);
+    load.waiting = read_count(in);
+    load.slots = read_count(in);
+    if (auto const work = read_count(in); work > 0)
+        load.work = state::work_factor{work};
+    out.load_age = read_duration(in);
+}
+
+state::server_observations read_server_observations(json const& from)
+{
+    require(from.size() <= max_servers, "list is too long");
+    state::server_observations observations;
+    for (auto const& e : from)
+    {
+        element_reader in(e);
+        state::server_observation o;
+        o.id = state::backend_id{in.text()};
+        o.incarnation = state::incarnation_number{in.unsigned_integer()};
+        o.intervals.count = in.unsigned_integer();
+        o.intervals.total = read_duration(in);
+        read_load(in.array(), o);
+        observations.push_back(std::move(o));
+    }
+    return observations;
+}
+
+json encode_ratings(std::optional<state::rating_update> const& update)
+{
+    if (!update)
+        return json::array();
+    auto changed = json::array();
+    for (auto const& r : update->changed)
+        changed.push_back(
+            {r.id.str(), r.incarnation.count(), r.event_interval.count(), r.load,
+             r.load_age.count()});
+    return json::array({update->version.count(), std::move(changed)});
+}
+
+std::optional<state::rating_update> read_ratings(json const& from)
+{
+    if (from.empty())
+        return std::nullopt;
+    element_reader in(from);
+    state::rating_update update;
+    update.version = state::rating_version{in.unsigned_integer()};
+    auto const& changed = in.array();
+    require(changed.size() <= max_servers, "list is too long");
+    for (auto const& e : changed)
+    {
+        element_reader server(e);
+        state::server_rating r;
+        r.id = state::backend_id{server.text()};
+        r.incarnation = state::incarnation_number{server.unsigned_integer()};
+        r.event_interval = read_duration(server);
+        r.load = read_count(server);
+        r.load_age = read_duration(server);
+        update.changed.push_back(std::move(r));
+    }
+    return update;
+}
+
+json encode_evacuations(std::optional<state::evacuations> const& evacuated)
+{
+    if (!evacuated)
+        return json::array();
+    auto domains = json::array();
+    for (auto const& domain : evacuated->domains)
+        domains.push_back(domain.str());
+    return json::array(
+        {evacuated->complete_to.era.count(), evacuated->complete_to.version.count(),
+         std::move(domains)});
+}
+
+std::optional<state::evacuations> read_evacuations(json const& from)
+{
+    if (from.empty())
+        return std::nullopt;
+    element_reader in(from);
+    state::evacuations evacuated;
+    evacuated.complete_to.era = state::store_era{in.unsigned_integer()};
+    evacuated.complete_to.version = state::row_version{in.unsigned_integer()};
+    auto const& domains = in.array();
+    require(domains.size() <= max_domains, "list is too long");
+    for (auto const& domain : domains)
+    {
+        require(domain.is_string(), "domain is not text");
+        evacuated.domains.emplace(domain.get<std::string>());
+    }
+    return evacuated;
+}
+
+/// Whether a response has elements that follow the traffic shares.
+bool has_placement(state::report_response const& response)
+{
+    return response.rank != state::instance_rank{} || response.evacuated || response.ratings;
+}
+
 } // namespace
 
 void append_report(json& out, state::instance_report const& report)
@@ -228,6 +367,10 @@
     out.push_back(encode_observations(report.segments));
     out.push_back(report.acknowledged.reported_through.count());
     out.push_back(report.acknowledged.configuration.count());
+    if (report.observations.empty() && report.ratings == state::rating_version{})
+        return;
+    out.push_back(report.ratings.count());
+    out.push_back(encode_server_observations(report.observations));
 }
 
 state::instance_report read_report(element_reader& in)
@@ -257,6 +400,10 @@
         report.segments = read_observations(in.array());
     if (!in.at_end())
         report.acknowledged = read_acknowledged(in);
+    if (in.at_end())
+        return report;
+    report.ratings = state::rating_version{in.unsigned_integer()};
+    report.observations = read_server_observations(in.array());
     return report;
 }
 
@@ -275,11 +422,18 @@
         response.operator_rows ? encode_rows_status(*response.operator_rows) : json::array());
     if (response.wall_offset)
         out.push_back(response.wall_offset->count());
-    bool const has_shares = response.shares.has_value();
+    bool const places = has_placement(response);
+    bool const has_shares = response.shares.has_value() || places;
     if (has_shares || response.segments != state::segment_verdicts{})
         out.push_back(encode_verdicts(response.segments));
     if (has_shares)
-        out.push_back(encode_shares(*response.shares));
+        out.push_back(response.shares ? encode_shares(*response.shares) : json::array());
+    if (!places)
+        return;
+    out.push_back(response.rank.rank);
+    out.push_back(response.rank.count);
+    out.push_back(encode_evacuations(response.evacuated));
+    out.push_back(encode_ratings(response.ratings));
 }
 
 state::report_response read_report_response(element_reader& in)
@@ -302,7 +456,14 @@
     if (!in.at_end())
         response.segments = read_verdicts(in.array());
     if (!in.at_end())
-        response.shares = read_shares(in.array());
+        if (auto const& shares = in.array(); !shares.empty())
+            response.shares = read_shares(shares);
+    if (in.at_end())
+        return response;
+    response.rank.rank = in.unsigned_integer();
+    response.rank.count = in.unsigned_integer();
+    response.evacuated = read_evacuations(in.array());
+    response.ratings = read_ratings(in.array());
     return response;
 }
 
--- a/src/state/instance_report.hpp
+++ b/src/state/instance_report.hpp
@@ -6,6 +6,7 @@
 #include "state/directory_log.hpp"
 #include "state/ids.hpp"
 #include "state/segment_evidence.hpp"
+#include "state/server_rating.hpp"
 #include "state/time.hpp"
 #include "state/usage_table.hpp"
 
@@ -60,6 +61,8 @@
     std::optional<instance_details> details;
     segment_observations segments;
     acknowledged_state acknowledged;
+    rating_version ratings; ///< last rating update applied from `directory_holder`; 0: none
+    server_observations observations;
 
     friend bool operator==(instance_report const&, instance_report const&) = default;
 };
--- a/src/state/report_response.hpp
+++ b/src/state/report_response.hpp
@@ -1,6 +1,8 @@
 #ifndef AUBURNWEIR_STATE_REPORT_RESPONSE_HPP
 #define AUBURNWEIR_STATE_REPORT_RESPONSE_HPP
 
+#include "state/evacuation.hpp"
+#include "state/instance_rank.hpp"
 #include "state/instance_report.hpp"
 #include "state/store_position.hpp"
 #include "state/traffic_shares.hpp"
@@ -34,6 +36,9 @@
     std::optional<std::chrono::milliseconds> wall_offset; ///< true time minus store clock
     segment_verdicts segments;
     std::optional<traffic_shares> shares; ///< of the instance that reported its requests
+    instance_rank rank;                   ///< of the instance that reported
+    std::optional<evacuations> evacuated; ///< null until the holder has read the operator rows
+    std::optional<rating_update> ratings; ///< null when there are none to send
 
     friend bool operator==(report_response const&, report_response const&) = default;
 };
--- a/src/state/route_set.hpp
+++ b/src/state/route_set.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -26,6 +27,9 @@
     resumable     ///< a stream may resume at another backend server after its last event
 };
 
+/// Regions that a configuration permits; null: all of them. An empty set permits none.
+using region_list = std::optional<std::set<region_id>>;
+
 /// A service that gets a share of a route's requests.
 struct weighted_service
 {
@@ -48,6 +52,7 @@
     int priority = 0;          ///< 0 is the most urgent
     int max_attempts = 1;      ///< backend servers at which one request may run
     std::vector<weighted_service> targets;
+    region_list regions; ///< in which requests may be served
 
     /// Service for a request id; the same on every instance.
     service_id const& target_of(std::string_view request) const;
@@ -80,6 +85,8 @@
     std::int64_t max_connections = 1; ///< to one backend server, from all instances together
     std::optional<engine_capacity> engine;
     std::optional<fleet_bounds> fleet;
+    duration cold_time{0};      ///< for which a server stays cold after its start; 0: never cold
+    double cold_per_second = 0; ///< requests that a cold server tolerates from all instances
 };
 
 /// Quota of an organisation; a rate of 0 means no limit.
@@ -91,6 +98,7 @@
     token_count tokens_if_unknown{0};
     double rate_per_second = 0;
     double burst = 0;
+    region_list regions; ///< in which requests may be served
 };
 
 /// Limits on requests of callers.
--- a/src/state/server_pool.hpp
+++ b/src/state/server_pool.hpp
@@ -27,7 +27,12 @@
 {
 };
 
-using server_availability = std::variant<server_open, server_closed, server_leaving>;
+/// The request may not be sent to the server: its failure domain is not permitted or is evacuated.
+struct server_barred
+{
+};
+
+using server_availability = std::variant<server_open, server_closed, server_leaving, server_barred>;
 
 /// When a server wants requests again: after a time, or at a moment of true time.
 using return_time = std::variant<duration, wall_time>;
--- a/src/state/server_table.cpp
+++ b/src/state/server_table.cpp
@@ -134,20 +134,24 @@
     return found != departures_.end() && found->second.incarnation >= incarnation;
 }
 
-server_availability server_table::availability_of(entry const& e, time_point now) const
+server_availability server_table::availability_of(
+    entry const& e, placement_rule const& rule, time_point now) const
 {
     if (e.leaving || is_expired(e, now))
         return server_leaving{};
+    auto const& domain = e.view.listed.failure_domain;
+    if (evacuated_.contains(domain) || !permits(rule, domain))
+        return server_barred{};
     auto opens_at = e.view.refusing_until;
     if (e.view.limit)
-        opens_at =
-            std::max(opens_at, e.view.limit->opens_at(shares_.of(e.view.listed.failure_domain)));
+        opens_at = std::max(opens_at, e.view.limit->opens_at(shares_.of(domain)));
     if (opens_at > now)
         return server_closed{opens_at};
     return server_open{};
 }
 
-server_pool server_table::pool(service_id const& service, time_point now) const
+server_pool server_table::pool(
+    service_id const& service, time_point now, placement_rule const& rule) const
 {
     ranked_lock lock(mutex_);
     server_pool result;
@@ -164,8 +168,8 @@
                 [&](server_closed closed) {
                     result.closed.push_back({view.listed.id, closed.until});
                 },
-                [](server_leaving) {}},
-            availability_of(item.second, now));
+                [](server_leaving) {}, [](server_barred) {}},
+            availability_of(item.second, rule, now));
     }
     if (result.open.empty())
         result.open = std::move(ejected);
@@ -232,18 +236,24 @@
         entries_, [](auto const& entry) { return entry.second.view.limit.has_value(); });
 }
 
+void server_table::set_evacuated(std::set<failure_domain_id> domains)
+{
+    ranked_lock lock(mutex_);
+    evacuated_ = std::move(domains);
+}
+
 void server_table::set_send_shares(send_shares shares)
 {
     ranked_lock lock(mutex_);
     shares_ = std::move(shares);
 }
 
-bool server_table::try_send(backend_id const& id, time_point now)
+bool server_table::try_send(backend_id const& id, time_point now, placement_rule const& rule)
 {
     ranked_lock lock(mutex_);
     auto const it = entries_.find(id);
     if (it == entries_.end() ||
-        !std::holds_alternative<server_open>(availability_of(it->second, now)))
+        !std::holds_alternative<server_open>(availability_of(it->second, rule, now)))
         return false;
     auto& v = it->second.view;
     if (v.limit)
--- a/src/state/server_table.hpp
+++ b/src/state/server_table.hpp
@@ -4,8 +4,10 @@
 #include "state/configuration.hpp"
 #include "state/ids.hpp"
 #include "state/lock_rank.hpp"
+#include "state/placement_rule.hpp"
 #include "state/send_limit.hpp"
 #include "state/server_pool.hpp"
+#include "state/server_rating.hpp"
 #include "state/time.hpp"
 
 #include <map>
@@ -32,14 +34,6 @@
     friend bool operator==(listed_server const&, listed_server const&) = default;
 };
 
-/// Load that a backend server reported, in requests.
-struct server_load
-{
-    std::int64_t running = 0;
-    std::int64_t waiting = 0;
-    std::int64_t slots = 0;
-};
-
 /// How one request at a backend server ended, for the server's health.
 enum class server_outcome : std::uint8_t
 {
@@ -67,8 +61,10 @@
     double failure_share = 0;                     ///< of recent requests, exponentially smoothed
     /// Set for a server that is no longer listed after a store outage: until when it is used.
     std::optional<time_point> missing_until;
-    std::optional<send_limit> limit; ///< that the server's last answer named
-    time_point refusing_until{};     ///< until when the server wants nothing from here
+    std::optional<send_limit> limit;     ///< that the server's last answer named
+    time_point refusing_until{};         ///< until when the server wants nothing from here
+    std::optional<server_rating> rating; ///< by all instances
+    time_point rated_at{};
 };
 
 /// A server that takes nothing from this instance for some time.
@@ -128,9 +124,10 @@
     /// Number of departures that were forgotten, as there were too many.
     std::uint64_t dropped_departures() const;
 
-    /// Servers of a service by their availability; of the open ones, the ejected ones only when
-    /// there is no other.
-    server_pool pool(service_id const& service, time_point now) const;
+    /// Servers of a service to which a request may be sent, by their availability; of the open
+    /// ones, the ejected ones only when there is no other.
+    server_pool pool(
+        service_id const& service, time_point now, placement_rule const& rule = any_domain{}) const;
 
     /// All servers of a service, leaving ones included.
     std::vector<server_view> all(service_id const& service) const;
@@ -162,9 +159,12 @@
     /// Sets this instance's shares of the servers' limits.
     void set_send_shares(send_shares shares);
 
+    /// Sets the failure domains whose servers get no requests.
+    void set_evacuated(std::set<failure_domain_id> domains);
+
     /// Counts a request that is sent to a server.
     /// @return false when the server is no longer open; the request must not be sent
-    bool try_send(backend_id const& id, time_point now);
+    bool try_send(backend_id const& id, time_point now, placement_rule const& rule = any_domain{});
     void record_load(backend_id const& id, server_load report, time_point now);
 
     /// Records the end of a request. @return the server's view after it
@@ -191,10 +191,12 @@
     bool record_departure(backend_id const& id, incarnation_number incarnation, time_point now);
     bool has_said_leaving(backend_id const& id, incarnation_number incarnation) const;
 
-    server_availability availability_of(entry const& e, time_point now) const;
+    server_availability availability_of(
+        entry const& e, placement_rule const& rule, time_point now) const;
 
     mutable ranked_mutex mutex_{lock_rank::backend_table};
     send_shares shares_;
+    std::set<failure_domain_id> evacuated_;
     std::map<backend_id, entry> entries_;
     std::map<backend_id, departure> departures_;
     std::uint64_t dropped_departures_ = 0;
