Limit requests to the regions of their route and organisation

Cause: a route or an organisation may list regions, and no attempt may leave them, whatever its reason. Each selection, each question for an alternative and each try_send uses the rule, after intersecting it with that of the configuration in force. Requests of a service whose servers are all barred are refused with no_permitted_backend, not run, Retry-After 1 s.

--- a/src/protocol/problem.cpp
+++ b/src/protocol/problem.cpp
@@ -70,6 +70,7 @@
     case r::request_quarantined:
     case r::backends_closed:
     case r::connections_exhausted:
+    case r::no_permitted_backend:
     case r::count_:
         break;
     }
--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -42,6 +42,7 @@
         "segment_on_trial",
         "backends_closed",
         "connections_exhausted",
+        "no_permitted_backend",
     };
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(retry_reason::count_)>
@@ -106,6 +107,8 @@
         "connections_full_of_refusals",
         "descriptors_exhausted",
         "directory_rows_held_back",
+        "domains_evacuated",
+        "domains_returned",
     };
 
 } // namespace
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -43,6 +43,7 @@
     segment_on_trial,
     backends_closed,
     connections_exhausted,
+    no_permitted_backend,
     count_
 };
 
@@ -122,6 +123,8 @@
     connections_full_of_refusals, ///< closed, as more refused requests are not remembered
     descriptors_exhausted,        ///< failures to accept a connection
     directory_rows_held_back,     ///< in each reading, rows of a copy that may list gone servers
+    domains_evacuated,            ///< evacuations of failure domains that began
+    domains_returned,             ///< and those that ended
     count_
 };
 
--- a/src/state/route_set.cpp
+++ b/src/state/route_set.cpp
@@ -36,6 +36,16 @@
     return longest == it->second.end() ? nullptr : &*longest;
 }
 
+std::vector<route const*> route_set::routes_named(route_id const& id) const
+{
+    std::vector<route const*> named;
+    for (auto const& [host, routes] : routes_by_host_)
+        for (auto const& r : routes)
+            if (r.id == id)
+                named.push_back(&r);
+    return named;
+}
+
 routed_service const* route_set::service(service_id const& id) const
 {
     auto const it = std::find_if(
@@ -49,6 +59,12 @@
     return it == organisation_by_key_.end() ? nullptr : &organisations_[it->second];
 }
 
+organisation_quota const* route_set::organisation(organisation_id const& id) const
+{
+    auto const it = std::ranges::find(organisations_, id, &organisation_quota::id);
+    return it == organisations_.end() ? nullptr : &*it;
+}
+
 route_set::builder& route_set::builder::version(configuration_version value)
 {
     result_.version_ = value;
--- a/src/state/route_set.hpp
+++ b/src/state/route_set.hpp
@@ -121,6 +121,9 @@
     /// The route of `host` with the longest prefix of `path`; null when none matches.
     route const* find(std::string_view host, std::string_view path) const;
 
+    /// The routes of that name, of all hosts.
+    std::vector<route const*> routes_named(route_id const& id) const;
+
     routed_service const* service(service_id const& id) const;
     std::vector<routed_service> const& services() const { return services_; }
 
@@ -129,6 +132,7 @@
 
     /// The organisation that `key` belongs to; null when the key is unknown.
     organisation_quota const* organisation_of_key(std::string_view key) const;
+    organisation_quota const* organisation(organisation_id const& id) const;
     std::vector<organisation_quota> const& organisations() const { return organisations_; }
 
     caller_limits const& limits() const { return limits_; }
--- a/src/state/server_table.cpp
+++ b/src/state/server_table.cpp
@@ -168,7 +168,7 @@
                 [&](server_closed closed) {
                     result.closed.push_back({view.listed.id, closed.until});
                 },
-                [](server_leaving) {}, [](server_barred) {}},
+                [](server_leaving) {}, [&](server_barred) { ++result.barred; }},
             availability_of(item.second, rule, now));
     }
     if (result.open.empty())
@@ -242,6 +242,12 @@
     evacuated_ = std::move(domains);
 }
 
+void server_table::record_return(failure_domain_id const& domain, time_point now)
+{
+    ranked_lock lock(mutex_);
+    returned_at_[domain] = now;
+}
+
 void server_table::set_send_shares(send_shares shares)
 {
     ranked_lock lock(mutex_);
--- a/src/state/server_table.hpp
+++ b/src/state/server_table.hpp
@@ -79,6 +79,7 @@
 {
     std::vector<server_view> open;
     std::vector<closed_server> closed;
+    std::size_t barred = 0; ///< number of servers that the request may not be sent to
 };
 
 /// Backend servers of the directory, with the results of this instance's requests to them.
@@ -162,6 +163,9 @@
     /// Sets the failure domains whose servers get no requests.
     void set_evacuated(std::set<failure_domain_id> domains);
 
+    /// Records when the evacuation of a failure domain ended.
+    void record_return(failure_domain_id const& domain, time_point now);
+
     /// Counts a request that is sent to a server.
     /// @return false when the server is no longer open; the request must not be sent
     bool try_send(backend_id const& id, time_point now, placement_rule const& rule = any_domain{});
@@ -197,6 +201,7 @@
     mutable ranked_mutex mutex_{lock_rank::backend_table};
     send_shares shares_;
     std::set<failure_domain_id> evacuated_;
+    std::map<failure_domain_id, time_point> returned_at_; ///< ends of evacuations
     std::map<backend_id, entry> entries_;
     std::map<backend_id, departure> departures_;
     std::uint64_t dropped_departures_ = 0;
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -28,6 +28,10 @@
 constexpr state::duration retry_delay_when_unready = std::chrono::milliseconds{700};
 constexpr state::duration retry_delay_when_stopping = std::chrono::milliseconds{50};
 
+/// Retry-After while no server is permitted. Operators must act first, but the end of an evacuation
+/// reaches this instance within a second.
+constexpr state::duration retry_delay_when_not_permitted = std::chrono::milliseconds{1000};
+
 /// Callers that are refused until a server opens are told to come back within this multiple of the
 /// time, so that they do not return together.
 constexpr double max_return_spread = 1.5;
@@ -134,7 +138,17 @@
         policy = coordination::affinity_with_bounded_load{};
         choice.affinity = coordination::affinity_of(forwarded_);
     }
-    selector_.emplace(context_, worker_, service_, std::move(choice), policy);
+    auto const path = std::string_view{target.data(), target.size()};
+    coordination::placed_request placed{
+        {host.data(), host.size()},
+        std::string{path.substr(0, path.find('?'))},
+        forwarded_.key,
+        route_->id,
+        organisation_ ? organisation_->id : state::organisation_id{}};
+    request_placement placement(
+        context_, std::move(placed), routes_,
+        coordination::placement_of(*route_, organisation_, settings.domain_regions));
+    selector_.emplace(context_, worker_, service_, std::move(choice), policy, std::move(placement));
     return true;
 }
 
@@ -188,6 +202,9 @@
             co_await wait_or_refuse(closed->until);
         else if (progress_.possibly_executed > 0)
             co_await finish_with_unknown_outcome(refusal_reason::backend_failed);
+        else if (std::holds_alternative<no_server_permitted>(selection))
+            co_await finish_not_run(
+                refusal_reason::no_permitted_backend, retry_delay_when_not_permitted);
         else
             co_await finish_not_run(refusal_reason::no_backend);
     }
--- a/src/transport/platform_format.hpp
+++ b/src/transport/platform_format.hpp
@@ -38,6 +38,11 @@
     /// Decodes an operator row. @return null when it requests no rollout
     virtual std::optional<requested_rollout> rollout_request(
         std::string const& key, std::string const& text) const = 0;
+
+    /// The failure domain that an operator row of this key evacuates, whatever its value; null when
+    /// the key is that of another row.
+    virtual std::optional<state::failure_domain_id> evacuated_domain(
+        std::string const& key) const = 0;
 };
 
 } // namespace auburnweir::transport
--- a/src/transport/server_selector.cpp
+++ b/src/transport/server_selector.cpp
@@ -5,9 +5,9 @@
 namespace auburnweir::transport
 {
 
-state::server_pool server_selector::pool() const
+state::server_pool server_selector::pool()
 {
-    auto result = context_.tables.servers.pool(service_, now());
+    auto result = context_.tables.servers.pool(service_, now(), placement_.current());
     context_.tables.rollouts.exclude_target(service_, result.open);
     return result;
 }
@@ -22,6 +22,9 @@
     for (;;)
     {
         auto available = pool();
+        bool const is_any_permitted = !available.open.empty() || !available.closed.empty();
+        if (!is_any_permitted && available.barred > 0)
+            return no_server_permitted{};
         auto server = coordination::choose_server(
             policy_, std::move(available.open), choice_, now(), worker_.random());
         std::erase_if(available.closed, [&](auto const& closed) { return was_tried(closed.id); });
@@ -30,15 +33,16 @@
         if (!server)
             return servers_closed{
                 std::ranges::min(available.closed, {}, &state::closed_server::until).until};
-        // Another worker may have used the server's last request meanwhile.
-        if (!context_.tables.servers.try_send(server->listed.id, now()))
+        // Another worker may have used the server's last request meanwhile, and a newer
+        // configuration may no longer permit the server.
+        if (!context_.tables.servers.try_send(server->listed.id, now(), placement_.current()))
             continue;
         choice_.tried_backends.insert(server->listed.id);
         return server_selected{std::move(*server)};
     }
 }
 
-bool server_selector::has_alternative() const
+bool server_selector::has_alternative()
 {
     auto const available = pool();
     return std::ranges::any_of(
--- a/src/transport/server_selector.hpp
+++ b/src/transport/server_selector.hpp
@@ -3,6 +3,7 @@
 
 #include "coordination/server_choice.hpp"
 #include "transport/gateway_context.hpp"
+#include "transport/request_placement.hpp"
 
 namespace auburnweir::transport
 {
@@ -24,7 +25,13 @@
 {
 };
 
-using server_selection = std::variant<server_selected, servers_closed, no_server_left>;
+/// The service has servers, but the request may be sent to none of them.
+struct no_server_permitted
+{
+};
+
+using server_selection =
+    std::variant<server_selected, servers_closed, no_server_left, no_server_permitted>;
 
 /// Selects the servers for the attempts of one request; each server once.
 class server_selector
@@ -32,9 +39,11 @@
 public:
     server_selector(
         gateway_context& context, worker& assigned_worker, state::service_id service,
-        coordination::choice_request choice, coordination::choice_policy policy)
+        coordination::choice_request choice, coordination::choice_policy policy,
+        request_placement placement)
         : context_(context)
         , worker_(assigned_worker)
+        , placement_(std::move(placement))
         , service_(std::move(service))
         , choice_(std::move(choice))
         , policy_(policy)
@@ -46,14 +55,15 @@
     server_selection select();
 
     /// Whether a server is open that the request was not sent to.
-    bool has_alternative() const;
+    bool has_alternative();
 
 private:
-    state::server_pool pool() const;
+    state::server_pool pool();
     bool was_tried(state::backend_id const& id) const;
 
     gateway_context& context_;
     worker& worker_;
+    request_placement placement_;
     state::service_id service_;
     coordination::choice_request choice_;
     coordination::choice_policy policy_;
