Send nothing to the servers of evacuated failure domains

Cause: operators need to empty a failure domain within five seconds, also at instances that the store refuses, and after a restore of the store. Change: evacuation_table keeps what this instance read and what the holder of the duties listed; the newer position is in force. Domains that a listing of a new era merely lacks stay evacuated for 4 s. The table sets the server table's domains and records the ends of evacuations there. Report responses carry the list. Events AW2121 and AW2122, two counters, one gauge. Measured: the 12 tests of evacuation_table_test and the 8 of server_selector_test pass.

--- a/src/state/store_eras.hpp
+++ b/src/state/store_eras.hpp
@@ -10,6 +10,9 @@
 namespace auburnweir::state
 {
 
+/// The era of a store that has never come back from an older copy.
+inline constexpr store_era first_store_era{1};
+
 /// The store's current era, as this instance knows it.
 ///
 /// A new era means that the store came back from an older copy: its rows may be older than what it
--- a/src/transport/gateway_server.cpp
+++ b/src/transport/gateway_server.cpp
@@ -175,6 +175,9 @@
     protocol::append_gauge(
         reply.body, "server_departures_dropped",
         static_cast<double>(tables.servers.dropped_departures()));
+    auto const evacuated = tables.evacuations.current().value_or(state::evacuations{});
+    protocol::append_gauge(
+        reply.body, "evacuated_domains", static_cast<double>(evacuated.domains.size()));
     protocol::append_gauge(
         reply.body, "log_lines_dropped", static_cast<double>(log_lines_dropped()));
     if (auto const routes = tables.routes.current())
--- a/src/transport/gateway_tables.hpp
+++ b/src/transport/gateway_tables.hpp
@@ -9,6 +9,7 @@
 #include "state/acknowledged_state.hpp"
 #include "state/counters.hpp"
 #include "state/directory_log.hpp"
+#include "state/evacuation_table.hpp"
 #include "state/instance_report_table.hpp"
 #include "state/latency_histogram.hpp"
 #include "state/memory_budget.hpp"
@@ -68,6 +69,7 @@
     state::acknowledged_state_table acknowledged;
     state::route_table routes;
     state::server_table servers;
+    state::evacuation_table evacuations{servers};
     state::directory_log directory_log;
     state::rollout_table rollouts;
     coordination::shared_quota quotas;
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -76,7 +76,8 @@
          "log lines were dropped because their reader was too slow"},
         {e::configuration_taken, l::info, "configuration_taken", "a service text is in force"},
         {e::configuration_refused, l::error, "configuration_refused",
-         "a service text has findings and was not applied"},
+         "a service text has findings and was not applied; of a gateway's configuration, the part "
+         "that `key` names is refused and the others are applied"},
         {e::version_withheld, l::info, "version_withheld",
          "a rollout was requested; the target version gets no requests while the old version has "
          "servers"},
@@ -118,6 +119,12 @@
          "a backend server no longer names a limit"},
         {e::backend_refuses, l::info, "backend_refuses",
          "a backend server turned a request away and wants nothing from this instance for a time"},
+        {e::domain_evacuated, l::warning, "domain_evacuated",
+         "operators evacuate a failure domain: its servers get no more requests from this "
+         "instance; "
+         "`source` is the store or the holder of the duties"},
+        {e::domain_returned, l::info, "domain_returned",
+         "the evacuation of a failure domain has ended: its servers get requests again"},
         {e::stream_moved, l::info, "stream_moved", "an answer continues on another backend server"},
         {e::stream_failed, l::warning, "stream_failed", "an answer could not be completed"},
         {e::journal_adopted, l::warning, "journal_adopted",
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/async_signal.hpp"
 #include "transport/attempt_recorder.hpp"
+#include "transport/evacuation_recorder.hpp"
 #include "transport/log.hpp"
 
 #include <algorithm>
@@ -386,6 +387,7 @@
     if (report.details && report.details->requests)
         response.shares = context_.tables.request_shares.shares_of(report.id, now());
     add_directory(response, report);
+    response.evacuated = context_.tables.evacuations.current();
     if (context_.tables.routes.current())
         response.operator_rows = {
             context_.tables.routes.newest(), context_.tables.routes.age(now()),
@@ -454,6 +456,13 @@
 
 void peer_exchange::handle_report_response(state::report_response const& response)
 {
+    if (response.holder.id != holder())
+        return;
+    // Before the response counts as heard: an instance that has started on an older copy of the
+    // store's rows waits for it.
+    if (response.evacuated)
+        record_evacuations(
+            context_, context_.tables.evacuations.apply(*response.evacuated, now()), "holder");
     std::optional<state::time_point> reported_at;
     {
         std::lock_guard lock(mutex_);
--- a/src/transport/store_watch.cpp
+++ b/src/transport/store_watch.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/store_pacing.hpp"
 #include "transport/async_signal.hpp"
+#include "transport/evacuation_recorder.hpp"
 #include "transport/log.hpp"
 
 #include <algorithm>
@@ -28,9 +29,6 @@
 /// responses reach them before they ask the store.
 constexpr double holder_age_share = 0.6;
 
-/// The era of a store that has never come back from an older copy.
-constexpr state::store_era first_store_era{1};
-
 /// Time in which an instance that has started hears from the others which configuration the store
 /// has acknowledged. When no other is left, operators have written a lost one again by then.
 constexpr state::duration peer_wait = std::chrono::seconds{4};
@@ -203,6 +201,8 @@
 {
     if (reading.is_whole_table)
         listed_configuration_ = {};
+    // Before a first configuration, which makes requests possible.
+    apply_evacuations(reading);
     apply_operator_rows(reading.listing);
     operator_rows_.record_applied(reading);
     if (routes_were_read_ && is_up_to_date(reading.listing))
@@ -212,7 +212,7 @@
 
 bool store_watch::is_up_to_date(row_listing const& listing)
 {
-    bool const may_be_copy = listing.era > first_store_era;
+    bool const may_be_copy = listing.era > state::first_store_era;
     auto const era_seen_at =
         context_.tables.store_eras.first_seen_at().value_or(listing.requested_at);
     bool const may_be_told = listing.requested_at - era_seen_at < peer_wait;
@@ -244,6 +244,25 @@
     context_.tables.routes.mark_applied_through({listing.era, newest});
 }
 
+void store_watch::apply_evacuations(table_reading const& reading)
+{
+    auto const& rows = reading.listing;
+    state::evacuation_listing listing;
+    listing.position = {rows.era, rows.version};
+    listing.is_whole = reading.is_whole_table;
+    listing.requested_at = rows.requested_at;
+    // A listing of changes may name a row more than once; the last change holds.
+    for (auto const& row : rows.rows)
+    {
+        auto const domain = context_.ports.format.evacuated_domain(row.key);
+        if (!domain)
+            continue;
+        (row.removed ? listing.removed : listing.listed).insert(*domain);
+        (row.removed ? listing.listed : listing.removed).erase(*domain);
+    }
+    record_evacuations(context_, context_.tables.evacuations.apply(listing), "store");
+}
+
 void store_watch::apply_rollout(requested_rollout const& rollout, bool may_be_copied)
 {
     bool const may_be_older = may_be_copied && context_.tables.rollouts.has_target(rollout.service);
--- a/src/transport/store_watch.hpp
+++ b/src/transport/store_watch.hpp
@@ -28,6 +28,7 @@
     /// acknowledged: an older copy of them confirms nothing.
     bool is_up_to_date(row_listing const& listing);
     void apply_operator_rows(row_listing const& listing);
+    void apply_evacuations(table_reading const& reading);
     /// @param may_be_copied  the row may be older than the one that was applied before
     void apply_rollout(requested_rollout const& rollout, bool may_be_copied);
     void apply_configuration(std::string const& text);
