Order engines outside of evacuated failure domains

Cause: engines in an evacuated domain serve nothing, and the service lacks them. Change: plan_fleet orders nothing in evacuated domains and counts their engines as reclaimed; all other domains replace them with on-demand engines. The domain is checked again before each order. Measured: the three new tests of fleet_planner_test and the existing ones pass; the latter only name the new argument.

--- a/src/coordination/fleet_planner.cpp
+++ b/src/coordination/fleet_planner.cpp
@@ -46,7 +46,8 @@
 
 fleet_counts plan_fleet(
     state::routed_service const& service, fleet_counts const& initial_fleet,
-    fleet_counts const& ready, fleet_settings const& settings)
+    fleet_counts const& ready, std::set<failure_domain_id> const& evacuated,
+    fleet_settings const& settings)
 {
     auto const& bounds = *service.fleet;
     fleet_counts plan;
@@ -54,7 +55,10 @@
     std::int64_t remaining_total = 0;  // ready engines that the plan keeps
     std::int64_t max_domain_ready = 0; // ready reclaimable engines of one domain
     std::size_t domain_count = 0;
-    std::vector<fleet_group> short_groups;
+    std::size_t short_domain_count = 0; // with fewer reclaimable engines than planned
+    // On-demand groups that replace missing engines: those of short domains, whose reclaimable
+    // engines are below the plan. An evacuated domain can't replace its own; the others do.
+    std::vector<fleet_group> replacing_groups;
     for (auto const& domain : domains_by_price(service))
     {
         fleet_group const reclaimable{service.id, domain, true};
@@ -64,6 +68,11 @@
             continue;
         initial_total += initial;
         ++domain_count;
+        if (evacuated.contains(domain))
+        {
+            ++short_domain_count;
+            continue;
+        }
         auto const scaled =
             std::llround(settings.reclaimable_factor * static_cast<double>(initial));
         plan[reclaimable] = std::clamp<std::int64_t>(
@@ -72,19 +81,21 @@
         auto const reclaimable_ready = std::min(count_of(ready, reclaimable), plan[reclaimable]);
         remaining_total += reclaimable_ready + plan[on_demand];
         max_domain_ready = std::max(max_domain_ready, reclaimable_ready);
-        if (reclaimable_ready < plan[reclaimable])
-            short_groups.push_back(on_demand);
+        bool const is_short = reclaimable_ready < plan[reclaimable];
+        short_domain_count += is_short ? 1 : 0;
+        if (is_short || !evacuated.empty())
+            replacing_groups.push_back(on_demand);
     }
     // Reclaims come in series: while up to half of the domains are short, a reclaim in another may
     // follow before an engine ordered at that point has started.
-    bool const series_may_go_on = !short_groups.empty() && 2 * short_groups.size() <= domain_count;
+    bool const series_may_go_on = short_domain_count > 0 && 2 * short_domain_count <= domain_count;
     if (series_may_go_on)
         remaining_total -= max_domain_ready;
     auto const needed = static_cast<std::int64_t>(
         std::ceil(settings.needed_share * static_cast<double>(initial_total)));
     auto missing = std::max<std::int64_t>(0, needed - remaining_total);
     // Engines that already run are kept first: they need no time to start.
-    for (auto const& group : short_groups)
+    for (auto const& group : replacing_groups)
     {
         auto const kept =
             std::min(missing, std::max<std::int64_t>(0, count_of(ready, group) - plan[group]));
@@ -94,7 +105,7 @@
     while (missing > 0)
     {
         auto const missing_before = missing;
-        for (auto const& group : short_groups)
+        for (auto const& group : replacing_groups)
         {
             fleet_group const reclaimable{group.service, group.failure_domain, true};
             bool const is_below_max =
--- a/src/coordination/fleet_planner.hpp
+++ b/src/coordination/fleet_planner.hpp
@@ -5,6 +5,7 @@
 #include "state/route_set.hpp"
 #include "state/server_table.hpp"
 
+#include <set>
 #include <vector>
 
 namespace auburnweir::coordination
@@ -29,9 +30,12 @@
 ///
 /// @param initial_fleet  on-demand engines that the operators started with, by failure domain
 /// @param ready  engines that accept requests now
+/// @param evacuated  domains in which nothing is ordered; their engines count as reclaimed and are
+///                   replaced in the other domains
 state::fleet_counts plan_fleet(
     state::routed_service const& service, state::fleet_counts const& initial_fleet,
-    state::fleet_counts const& ready, fleet_settings const& settings = {});
+    state::fleet_counts const& ready, std::set<state::failure_domain_id> const& evacuated,
+    fleet_settings const& settings = {});
 
 } // namespace auburnweir::coordination
 
--- a/src/transport/duty_runner.cpp
+++ b/src/transport/duty_runner.cpp
@@ -395,13 +395,15 @@
     if (!routes || now() - planned_at_ < plan_period)
         co_return;
     planned_at_ = now();
+    auto const evacuated = [this]
+    { return context_.tables.evacuations.current().value_or(state::evacuations{}).domains; };
     for (auto const& service : routes->services())
     {
         if (!service.fleet)
             continue;
         auto const ready = coordination::ready_engines(context_.tables.servers.all(service.id));
-        auto const plan =
-            coordination::plan_fleet(service, held_lease_->record.initial_fleet, ready);
+        auto const plan = coordination::plan_fleet(
+            service, held_lease_->record.initial_fleet, ready, evacuated());
         for (auto const& [group, count] : plan)
         {
             auto const placed = placed_orders_.find(group);
@@ -417,6 +419,9 @@
                 continue;
             if (!lease_permits_calls())
                 co_return;
+            // The domain may have been evacuated during the orders before.
+            if (evacuated().contains(group.failure_domain))
+                continue;
             co_await place_order(group, count);
             if (!held_lease_)
                 co_return;
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -180,7 +180,8 @@
     std::int64_t planned(
         state::fleet_counts const& ready, std::string const& domain, bool reclaimable)
     {
-        return plan_fleet(service, initial_fleet, ready, settings)[group(domain, reclaimable)];
+        return plan_fleet(
+            service, initial_fleet, ready, evacuated, settings)[group(domain, reclaimable)];
     }
 
     std::int64_t on_demand(state::fleet_counts const& ready)
@@ -190,9 +191,40 @@
 
     state::routed_service service;
     state::fleet_counts initial_fleet;
+    std::set<failure_domain_id> evacuated;
     fleet_settings settings;
 };
 
+// Guards against engines that are ordered, and paid for, where nothing may be sent.
+TEST_F(fleet_planner_test, plan_with_an_evacuated_domain_orders_nothing_there)
+{
+    evacuated = {failure_domain_id{"a"}};
+    for (auto const& [planned_group, count] :
+         plan_fleet(service, initial_fleet, initial_fleet, evacuated, settings))
+        EXPECT_NE(planned_group.failure_domain, failure_domain_id{"a"});
+}
+
+// Guards against a service that is left with too few engines while a domain is evacuated.
+TEST_F(fleet_planner_test, plan_with_an_evacuated_domain_replaces_its_engines_in_the_others)
+{
+    state::fleet_counts ready;
+    for (auto const* domain : {"a", "b", "c"})
+        ready[group(domain, true)] = 5;
+    evacuated = {failure_domain_id{"a"}};
+    // As after one reclaim: ten remain and six are needed; the next reclaim would leave five.
+    EXPECT_EQ(planned(ready, "b", false) + planned(ready, "c", false), 1);
+    evacuated.insert(failure_domain_id{"b"});
+    EXPECT_EQ(planned(ready, "c", false), 1); // five remain; a group has six engines at most
+    settings.needed_share = 1;
+    EXPECT_EQ(planned(ready, "c", false), 1);
+}
+
+TEST_F(fleet_planner_test, plan_with_all_domains_evacuated_orders_nothing)
+{
+    evacuated = {failure_domain_id{"a"}, failure_domain_id{"b"}, failure_domain_id{"c"}};
+    EXPECT_TRUE(plan_fleet(service, initial_fleet, {}, evacuated, settings).empty());
+}
+
 TEST_F(fleet_planner_test, plan_at_the_start_adds_reclaimable_engines_and_keeps_needed_ones)
 {
     auto const ready = initial_fleet;
@@ -252,7 +284,7 @@
             ready[group(domains[i], true)] = 39;
         std::int64_t sum = 0;
         for (auto const& [planned_group, count] :
-             plan_fleet(service, initial_fleet, ready, settings))
+             plan_fleet(service, initial_fleet, ready, {}, settings))
             sum += planned_group.reclaimable ? 0 : count;
         return sum;
     }
