--- a/tests/support/gateway_deployment.cpp
+++ b/tests/support/gateway_deployment.cpp
@@ -210,10 +210,21 @@
 
 void gateway_deployment::rewrite_configuration()
 {
-    json const row{{"table", "op"}, {"key", "config"}, {"value", configuration_.dump()}};
+    write_operator_row("config", configuration_);
+}
+
+void gateway_deployment::write_operator_row(std::string const& key, json const& value)
+{
+    json const row{{"table", "op"}, {"key", key}, {"value", value.dump()}};
     control(*store_, {{"put", json::array({row})}});
 }
 
+void gateway_deployment::remove_operator_row(std::string const& key)
+{
+    json const row{{"table", "op"}, {"key", key}};
+    control(*store_, {{"remove", json::array({row})}});
+}
+
 void gateway_deployment::copy_store()
 {
     control(*store_, {{"copy", true}});
--- a/tests/support/gateway_deployment.hpp
+++ b/tests/support/gateway_deployment.hpp
@@ -72,6 +72,10 @@
     /// Writes the last configuration once more, as operators do when the store has lost it.
     void rewrite_configuration();
 
+    /// Writes or removes a row of the operators.
+    void write_operator_row(std::string const& key, json const& value);
+    void remove_operator_row(std::string const& key);
+
     /// Makes the store keep a copy of its rows.
     void copy_store();
 
