--- a/src/state/lock_rank.hpp
+++ b/src/state/lock_rank.hpp
@@ -16,6 +16,7 @@
     admission_gate = 15,
     admission = 20,
     subset_cache = 25,
+    placement_activation = 27,
     backend_table = 30,
     server_ratings = 32,
     rollouts = 33,
--- a/src/state/route_set.cpp
+++ b/src/state/route_set.cpp
@@ -36,6 +36,16 @@
     return longest == it->second.end() ? nullptr : &*longest;
 }
 
+std::vector<route const*> route_set::routes() const
+{
+    std::vector<route const*> all;
+    all.reserve(route_count_);
+    for (auto const& [host, routes] : routes_by_host_)
+        for (auto const& r : routes)
+            all.push_back(&r);
+    return all;
+}
+
 routed_service const* route_set::service(service_id const& id) const
 {
     auto const it = std::find_if(
--- a/src/state/route_set.hpp
+++ b/src/state/route_set.hpp
@@ -134,6 +134,9 @@
     caller_limits const& limits() const { return limits_; }
     std::size_t route_count() const { return route_count_; }
 
+    /// All routes, in no particular order.
+    std::vector<route const*> routes() const;
+
 private:
     configuration_version version_;
     std::unordered_map<std::string, std::vector<route>> routes_by_host_;
