Use placement by speed for prompts of uneven services

Change: the forwarder selects speed_weighted_placement for routes that carry prompts, where the service has uneven placement; all other requests keep their policy. Gateways note the services whose servers report a work factor, and count requests by kind of placement. Integration tests and soak were not run.

--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -106,6 +106,9 @@
         "connections_full_of_refusals",
         "descriptors_exhausted",
         "directory_rows_held_back",
+        "requests_placed_over_deployment",
+        "requests_placed_in_subset",
+        "requests_left_lane",
     };
 
 } // namespace
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -122,6 +122,9 @@
     connections_full_of_refusals, ///< closed, as more refused requests are not remembered
     descriptors_exhausted,        ///< failures to accept a connection
     directory_rows_held_back,     ///< in each reading, rows of a copy that may list gone servers
+    requests_placed_over_deployment,
+    requests_placed_in_subset,
+    requests_left_lane, ///< their lane had no server
     count_
 };
 
--- a/src/transport/attempt_recorder.cpp
+++ b/src/transport/attempt_recorder.cpp
@@ -60,6 +60,8 @@
     auto const& id = server.listed.id;
     if (response.load)
         tables.servers.record_load(id, *response.load, now());
+    if (response.load && response.load->work)
+        tables.placements.record_work_factor(server.listed.service);
     if (response.leaving && tables.servers.mark_leaving(id, server.listed.incarnation, now()))
     {
         tables.counters.increment(state::event_counter::backends_said_leaving);
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -131,8 +131,14 @@
     coordination::choice_policy policy = coordination::nearest_least_loaded{};
     if (route_->carries_prompt)
     {
-        policy = coordination::affinity_with_bounded_load{};
         choice.affinity = coordination::affinity_of(forwarded_);
+        choice.instance = settings.id;
+        choice.shared_tokens = coordination::shared_tokens_of(forwarded_);
+        auto const placement = tables.placements.of(routes_, service_);
+        if (placement.uneven)
+            policy = coordination::speed_weighted_placement{placement.separate_lanes};
+        else
+            policy = coordination::affinity_with_bounded_load{};
     }
     selector_.emplace(context_, worker_, service_, std::move(choice), policy);
     return true;
--- a/src/transport/gateway_tables.hpp
+++ b/src/transport/gateway_tables.hpp
@@ -1,6 +1,7 @@
 #ifndef AUBURNWEIR_TRANSPORT_GATEWAY_TABLES_HPP
 #define AUBURNWEIR_TRANSPORT_GATEWAY_TABLES_HPP
 
+#include "coordination/placement_activation.hpp"
 #include "coordination/request_shares.hpp"
 #include "coordination/retry_budget.hpp"
 #include "coordination/segment_quarantine.hpp"
@@ -26,7 +27,8 @@
 struct gateway_tables
 {
     explicit gateway_tables(protocol::gateway_settings const& settings)
-        : quotas(granted_quota_share)
+        : placements(coordination::placement_setting_named(settings.placement))
+        , quotas(granted_quota_share)
         , retry_budget(retry_limits_for(settings))
         , segment_quarantine(quarantine_settings_for(settings))
         , usage(max_usage_windows)
@@ -64,12 +66,19 @@
         return result;
     }
 
+    /// Services whose servers need ratings.
+    std::set<state::service_id> services_with_uneven_placement()
+    {
+        return placements.uneven_services(routes.current());
+    }
+
     state::store_eras store_eras;
     state::acknowledged_state_table acknowledged;
     state::route_table routes;
     state::server_table servers;
     state::directory_log directory_log;
     state::rollout_table rollouts;
+    coordination::placement_table placements;
     coordination::shared_quota quotas;
     coordination::retry_budget retry_budget;
     coordination::segment_quarantine segment_quarantine;
--- a/src/transport/server_selector.cpp
+++ b/src/transport/server_selector.cpp
@@ -22,22 +22,36 @@
     for (;;)
     {
         auto available = pool();
-        auto server = coordination::choose_server(
+        auto placed = coordination::place_request(
             policy_, std::move(available.open), choice_, now(), worker_.random());
         std::erase_if(available.closed, [&](auto const& closed) { return was_tried(closed.id); });
-        if (!server && available.closed.empty())
+        if (!placed && available.closed.empty())
             return no_server_left{};
-        if (!server)
+        if (!placed)
             return servers_closed{
                 std::ranges::min(available.closed, {}, &state::closed_server::until).until};
         // Another worker may have used the server's last request meanwhile.
-        if (!context_.tables.servers.try_send(server->listed.id, now()))
+        if (!context_.tables.servers.try_send(placed->server.listed.id, now()))
             continue;
-        choice_.tried_backends.insert(server->listed.id);
-        return server_selected{std::move(*server)};
+        choice_.tried_backends.insert(placed->server.listed.id);
+        if (placed->placement)
+            count(*placed->placement);
+        return server_selected{std::move(placed->server)};
     }
 }
 
+void server_selector::count(coordination::placement_kind const& placement)
+{
+    using state::event_counter;
+    auto& counters = context_.tables.counters;
+    counters.increment(
+        placement.scope == coordination::placement_scope::deployment
+            ? event_counter::requests_placed_over_deployment
+            : event_counter::requests_placed_in_subset);
+    if (placement.left_lane)
+        counters.increment(event_counter::requests_left_lane);
+}
+
 bool server_selector::has_alternative() const
 {
     auto const available = pool();
--- a/src/transport/server_selector.hpp
+++ b/src/transport/server_selector.hpp
@@ -50,6 +50,7 @@
 
 private:
     state::server_pool pool() const;
+    void count(coordination::placement_kind const& placement);
     bool was_tried(state::backend_id const& id) const;
 
     gateway_context& context_;
--- a/tests/concurrency/shared_tables_test.cpp
+++ b/tests/concurrency/shared_tables_test.cpp
@@ -1,4 +1,5 @@
 #include "coordination/admission_queue.hpp"
+#include "coordination/placement_activation.hpp"
 #include "coordination/prefix_index.hpp"
 #include "coordination/retry_policy.hpp"
 #include "state/backend_table.hpp"
@@ -80,6 +81,32 @@
         EXPECT_EQ(view.in_flight, 0);
 }
 
+// Guards against an entry of an older configuration that is returned for a newer one.
+TEST_F(shared_tables_test, placement_table_with_concurrent_configurations_answers_for_each)
+{
+    using namespace std::chrono_literals;
+    route urgent;
+    urgent.prefix = "/urgent/";
+    urgent.streaming = true;
+    urgent.latency_objective = 500ms;
+    urgent.targets = {{service_id{"s"}, 1}};
+    auto patient = urgent;
+    patient.prefix = "/patient/";
+    patient.latency_objective = 2000ms;
+    auto const one = route_set::builder{}.add(urgent).build();
+    auto const both = route_set::builder{}.add(urgent).add(patient).build();
+    coordination::placement_table table(coordination::placement_setting::automatic);
+    on_all_threads(
+        [&](int t)
+        {
+            for (int i = 0; i < rounds_per_thread; ++i)
+            {
+                EXPECT_EQ(table.of(t % 2 ? both : one, service_id{"s"}).separate_lanes, t % 2 == 1);
+                table.record_work_factor(service_id{"other-" + std::to_string(t)});
+            }
+        });
+}
+
 TEST_F(shared_tables_test, journal_with_concurrent_readers_never_shrinks)
 {
     journal subject(chat_request{}, instance_id{"e"}, generation_tag{"g"});
