--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -109,6 +109,9 @@
         "directory_rows_held_back",
         "domains_evacuated",
         "domains_returned",
+        "requests_placed_over_deployment",
+        "requests_placed_in_subset",
+        "requests_left_lane",
     };
 
 } // namespace
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -125,6 +125,9 @@
     directory_rows_held_back,     ///< in each reading, rows of a copy that may list gone servers
     domains_evacuated,            ///< evacuations of failure domains that began
     domains_returned,             ///< and those that ended
+    requests_placed_over_deployment,
+    requests_placed_in_subset,
+    requests_left_lane, ///< their lane had no server
     count_
 };
 
--- a/src/transport/server_selector.hpp
+++ b/src/transport/server_selector.hpp
@@ -59,6 +59,7 @@
 
 private:
     state::server_pool pool();
+    void count(coordination::placement_kind const& placement);
     bool was_tried(state::backend_id const& id) const;
 
     gateway_context& context_;
