Rate backend servers by what all instances see

Change: the load header may have a fourth value, the work factor; malformed loads are counted and have no other effect. Relays record the times between events of streams for the server. Reports with details carry these and the newest loads, the holder of the duties merges them into ratings, and its responses carry the ratings that changed, by version. Without the holder a gateway rates servers by its own streams. Gauges: rated_servers, slowest_server_to_reference, server_observations_dropped. Not run with real processes.

--- a/src/state/server_table.cpp
+++ b/src/state/server_table.cpp
@@ -295,6 +295,68 @@
     it->second.view.sent_since_load = 0;
 }
 
+server_table::entry* server_table::entry_of(server_rating const& rating)
+{
+    auto const it = entries_.find(rating.id);
+    if (it == entries_.end() || it->second.view.listed.incarnation != rating.incarnation)
+        return nullptr;
+    return &it->second;
+}
+
+void server_table::apply_ratings(std::vector<server_rating> const& ratings, time_point now)
+{
+    ranked_lock lock(mutex_);
+    for (auto const& rating : ratings)
+    {
+        auto* const e = entry_of(rating);
+        if (!e)
+            continue;
+        e->view.rating = rating;
+        e->view.rated_at = now;
+        e->holder_rated_at = now;
+        e->holder_rating_since = now;
+    }
+}
+
+void server_table::confirm_ratings(time_point since, time_point now)
+{
+    ranked_lock lock(mutex_);
+    for (auto& [id, e] : entries_)
+    {
+        bool const holds = e.holder_rated_at && *e.holder_rated_at >= since &&
+                           now - *e.holder_rated_at <= max_rating_age &&
+                           now - *e.holder_rating_since <= max_confirmed_time;
+        if (!holds)
+            continue;
+        // The event interval holds now; the load is as old as before.
+        e.view.rating->load_age += now - e.view.rated_at;
+        e.view.rated_at = now;
+        e.holder_rated_at = now;
+    }
+}
+
+void server_table::apply_own_ratings(std::vector<server_rating> const& ratings, time_point now)
+{
+    ranked_lock lock(mutex_);
+    for (auto const& rating : ratings)
+    {
+        auto* const e = entry_of(rating);
+        if (!e || (e->holder_rated_at && now - *e->holder_rated_at <= max_rating_age))
+            continue;
+        e->view.rating = rating;
+        e->view.rated_at = now;
+    }
+}
+
+std::map<backend_id, incarnation_number> server_table::incarnations() const
+{
+    ranked_lock lock(mutex_);
+    std::map<backend_id, incarnation_number> result;
+    for (auto const& [id, e] : entries_)
+        result.emplace_hint(result.end(), id, e.view.listed.incarnation);
+    return result;
+}
+
 std::optional<server_view> server_table::record_end(
     backend_id const& id, server_outcome outcome, time_point now)
 {
--- a/src/state/server_table.hpp
+++ b/src/state/server_table.hpp
@@ -63,7 +63,7 @@
     std::optional<time_point> missing_until;
     std::optional<send_limit> limit;     ///< that the server's last answer named
     time_point refusing_until{};         ///< until when the server wants nothing from here
-    std::optional<server_rating> rating; ///< by all instances
+    std::optional<server_rating> rating; ///< by all instances, or by this one alone
     time_point rated_at{};
 };
 
@@ -162,6 +162,25 @@
     /// Sets the failure domains whose servers get no requests.
     void set_evacuated(std::set<failure_domain_id> domains);
 
+    /// Sets ratings by the holder of the duties. Those of another incarnation are ignored.
+    void apply_ratings(std::vector<server_rating> const& ratings, time_point now);
+
+    /// Records that the holder's ratings that were applied after `since` hold now: it sends only
+    /// those that change. A rating that it has not sent for `max_confirmed_time` is left to age.
+    void confirm_ratings(time_point since, time_point now);
+
+    /// Sets ratings by this instance alone, of servers without a rating by the holder that is newer
+    /// than `max_rating_age`. Those of another incarnation are ignored.
+    void apply_own_ratings(std::vector<server_rating> const& ratings, time_point now);
+
+    /// Incarnations of all servers, missing ones included.
+    std::map<backend_id, incarnation_number> incarnations() const;
+
+    static constexpr duration max_rating_age = std::chrono::seconds{10};
+
+    /// Twice the period in which the holder sends each rating again.
+    static constexpr duration max_confirmed_time = std::chrono::seconds{60};
+
     /// Counts a request that is sent to a server.
     /// @return false when the server is no longer open; the request must not be sent
     bool try_send(backend_id const& id, time_point now, placement_rule const& rule = any_domain{});
@@ -177,6 +196,8 @@
     {
         server_view view;
         bool leaving = false;
+        std::optional<time_point> holder_rated_at;     ///< when a rating by the holder last held
+        std::optional<time_point> holder_rating_since; ///< when the holder last sent it
     };
 
     /// An incarnation that said that it leaves, in an answer or in the directory.
@@ -187,6 +208,7 @@
     };
 
     static bool is_expired(entry const& e, time_point now);
+    entry* entry_of(server_rating const& rating);
     /// @return true when it was not recorded before
     bool record_departure(backend_id const& id, incarnation_number incarnation, time_point now);
     bool has_said_leaving(backend_id const& id, incarnation_number incarnation) const;
--- a/src/transport/attempt_recorder.cpp
+++ b/src/transport/attempt_recorder.cpp
@@ -59,7 +59,11 @@
     auto& tables = context_.tables;
     auto const& id = server.listed.id;
     if (response.load)
-        tables.servers.record_load(id, *response.load, now());
+    {
+        auto const time = now();
+        tables.servers.record_load(id, *response.load, time);
+        tables.server_observations.record_load(server.listed, *response.load, time);
+    }
     if (response.leaving && tables.servers.mark_leaving(id, server.listed.incarnation, now()))
     {
         tables.counters.increment(state::event_counter::backends_said_leaving);
@@ -67,7 +71,7 @@
     }
     tables.counters.increment(
         state::event_counter::malformed_statements,
-        static_cast<std::uint64_t>(response.malformed_statements));
+        static_cast<std::uint64_t>(response.malformed_statements + response.malformed_loads));
     record_limit(server, response);
     if (response.returns)
         record_return_time(server, *response.returns);
@@ -111,6 +115,12 @@
         {{"backend", server.listed.id.str()}, {"for_ms", std::to_string(for_ms)}});
 }
 
+void attempt_recorder::record_intervals(
+    state::listed_server const& server, state::event_intervals const& intervals)
+{
+    context_.tables.server_observations.record_intervals(server, intervals);
+}
+
 void attempt_recorder::record_loss(
     state::server_view const& server, state::forwarded_request const& request)
 {
--- a/src/transport/attempt_recorder.hpp
+++ b/src/transport/attempt_recorder.hpp
@@ -28,6 +28,10 @@
     /// Records what a response says of its server.
     void record_statements(state::server_view const& server, backend_headers const& response);
 
+    /// Records times between events of a stream of the server, for its rating.
+    void record_intervals(
+        state::listed_server const& server, state::event_intervals const& intervals);
+
     /// Records that the server broke off the request before it had answered it.
     void record_loss(state::server_view const& server, state::forwarded_request const& request);
 
--- a/src/transport/event_splitter.hpp
+++ b/src/transport/event_splitter.hpp
@@ -31,7 +31,7 @@
     /// Removes and returns the complete events that are buffered; empty when there is none.
     std::string take_complete_events()
     {
-        last_had_content_ = false;
+        last_content_events_ = 0;
         if (complete_ == 0)
             return {};
         // The rest is short, so it is copied and not the events.
@@ -62,7 +62,11 @@
 
     /// Whether the last call of `take_complete_events` returned more than comments, which servers
     /// send to keep a connection open.
-    bool last_had_content() const { return last_had_content_; }
+    bool last_had_content() const { return last_content_events_ > 0; }
+
+    /// Number of events with more than comments that the last call of `take_complete_events`
+    /// returned.
+    std::size_t last_content_events() const { return last_content_events_; }
 
 private:
     static constexpr std::string_view event_end = "\n\n";
@@ -70,13 +74,17 @@
     void inspect_lines(std::string_view events)
     {
         constexpr std::string_view field = "id:";
+        bool event_has_content = false;
         for (std::size_t begin = 0; begin < events.size();)
         {
             auto const end = events.find('\n', begin);
             auto line = events.substr(begin, end - begin);
             begin = end == std::string_view::npos ? events.size() : end + 1;
             bool const is_comment = line.starts_with(':');
-            last_had_content_ = last_had_content_ || !(line.empty() || is_comment);
+            if (!line.empty() && !is_comment && !std::exchange(event_has_content, true))
+                ++last_content_events_;
+            if (line.empty())
+                event_has_content = false;
             if (!line.starts_with(field))
                 continue;
             line.remove_prefix(field.size());
@@ -89,7 +97,7 @@
     std::string buffer_;
     std::size_t complete_ = 0; ///< length of the complete events at the start of `buffer_`
     std::string last_id_;
-    bool last_had_content_ = false;
+    std::size_t last_content_events_ = 0;
 };
 
 } // namespace auburnweir::transport
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -121,8 +121,10 @@
     progress_.retry = route_->retry;
     progress_.max_possibly_executed = route_->max_attempts;
     resume_after_ = forwarded_.resume_after;
-    relayed_request relayed{arrived_at_, deadline_, {}, {}, cancel_};
+    relayed_request relayed{arrived_at_, deadline_, {}, {}, {}, cancel_};
     relayed.on_answering = [this] { recorder_.record_answer(forwarded_); };
+    relayed.on_intervals = [this](state::event_intervals const& intervals)
+    { recorder_.record_intervals(streaming_server_, intervals); };
     if (route_->retry == state::retry_rule::resumable)
         relayed.may_resume_elsewhere = [this] { return may_resume_elsewhere(); };
     relay_.emplace(context_, writer_, std::move(relayed));
@@ -316,7 +318,10 @@
     bool const streamed = route_->streaming && is_success(status);
     auto result = relay_result::interrupted;
     if (streamed)
+    {
+        streaming_server_ = server.listed;
         result = co_await relay_->relay_stream(response);
+    }
     else
         result = co_await relay_->relay_buffered(response);
     progress_.response_begun = relay_->has_started();
--- a/src/transport/forwarder.hpp
+++ b/src/transport/forwarder.hpp
@@ -80,6 +80,7 @@
     attempt_trace trace_;                     ///< of the last attempt
     std::optional<response_relay> relay_;     ///< set when the request is admitted
     std::optional<server_selector> selector_; ///< the same
+    state::listed_server streaming_server_;   ///< whose stream is relayed
     std::string resume_after_;
     std::string quarantined_segment_; ///< id of the segment for which the request is refused
     bool done_ = false;
--- a/src/transport/gateway_server.cpp
+++ b/src/transport/gateway_server.cpp
@@ -1,5 +1,6 @@
 #include "transport/gateway_server.hpp"
 
+#include "coordination/rating_summary.hpp"
 #include "protocol/gateway_status.hpp"
 #include "protocol/metrics_text.hpp"
 #include "transport/async_signal.hpp"
@@ -175,6 +176,13 @@
     protocol::append_gauge(
         reply.body, "server_departures_dropped",
         static_cast<double>(tables.servers.dropped_departures()));
+    auto const ratings = coordination::summarise_ratings(tables.servers.snapshot(), now());
+    protocol::append_gauge(reply.body, "rated_servers", static_cast<double>(ratings.rated_servers));
+    protocol::append_gauge(reply.body, "slowest_server_to_reference", ratings.slowest_to_reference);
+    protocol::append_gauge(
+        reply.body, "server_observations_dropped",
+        static_cast<double>(
+            tables.server_observations.dropped() + tables.server_ratings.dropped()));
     protocol::append_gauge(
         reply.body, "log_lines_dropped", static_cast<double>(log_lines_dropped()));
     if (auto const routes = tables.routes.current())
--- a/src/transport/gateway_tables.hpp
+++ b/src/transport/gateway_tables.hpp
@@ -4,6 +4,7 @@
 #include "coordination/request_shares.hpp"
 #include "coordination/retry_budget.hpp"
 #include "coordination/segment_quarantine.hpp"
+#include "coordination/server_rating_table.hpp"
 #include "coordination/shared_quota.hpp"
 #include "protocol/gateway_settings.hpp"
 #include "state/acknowledged_state.hpp"
@@ -14,6 +15,7 @@
 #include "state/memory_budget.hpp"
 #include "state/rollout_table.hpp"
 #include "state/route_table.hpp"
+#include "state/server_observation_table.hpp"
 #include "state/server_table.hpp"
 #include "state/store_eras.hpp"
 #include "state/usage_table.hpp"
@@ -68,6 +70,8 @@
     state::acknowledged_state_table acknowledged;
     state::route_table routes;
     state::server_table servers;
+    state::server_observation_table server_observations;
+    coordination::server_rating_table server_ratings; ///< by all instances at the holder
     state::directory_log directory_log;
     state::rollout_table rollouts;
     coordination::shared_quota quotas;
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -190,13 +190,16 @@
     registry_.renew_registration();
     if (auto const routes = context_.tables.routes.current())
         context_.tables.quotas.apply_limits(routes->organisations(), now());
+    state::server_observations seen;
+    if (report_periods_ % detailed_report_interval == 0)
+        seen = observe_servers();
     bool const is_own = holder.id == context_.settings.id;
     if (is_own || holder.id.empty())
         record_verdict_changes(context_, context_.tables.segment_quarantine.decide(now()));
     if (is_own)
         return tick_as_holder();
     if (!holder.id.empty())
-        tick_as_follower(holder);
+        tick_as_follower(holder, std::move(seen));
     else if (known > 0)
         apply_shares(1, known, state::duration::zero());
 }
@@ -280,10 +283,41 @@
         live_instances_ = live;
     }
     share_limits_as_holder();
+    rate_servers_as_holder();
     apply_shares(live, known, silent_instance_expiry);
 }
 
-void peer_exchange::tick_as_follower(state::instance const& holder)
+std::set<state::service_id> peer_exchange::rated_services() const
+{
+    std::set<state::service_id> services;
+    auto const routes = context_.tables.routes.current();
+    if (!routes || context_.settings.placement != "uneven")
+        return services;
+    for (auto const& service : routes->services())
+        services.insert(service.id);
+    return services;
+}
+
+state::server_observations peer_exchange::observe_servers()
+{
+    auto& tables = context_.tables;
+    tables.server_observations.set_rated_services(rated_services());
+    auto seen = tables.server_observations.take(now());
+    tables.server_ratings.retain(tables.servers.incarnations());
+    tables.server_ratings.merge(seen, now());
+    tables.servers.apply_own_ratings(tables.server_ratings.all(now()), now());
+    return seen;
+}
+
+void peer_exchange::rate_servers_as_holder()
+{
+    if (report_periods_ % detailed_report_interval != 0)
+        return;
+    auto const time = now();
+    context_.tables.servers.apply_ratings(context_.tables.server_ratings.all(time), time);
+}
+
+void peer_exchange::tick_as_follower(state::instance const& holder, state::server_observations seen)
 {
     auto const max_silence = max_silent_periods * context_.settings.report_period;
     if (holder_silence() > max_silence && links_.age(holder.id, now()) > max_silence)
@@ -293,7 +327,7 @@
         content = report_content::recent_usage;
     if (std::exchange(reported_to_, holder.id) != holder.id)
         content = report_content::all_usage;
-    links_.send(holder, make_report(content));
+    links_.send(holder, make_report(content, std::move(seen)));
 }
 
 void peer_exchange::report_if_urgent()
@@ -310,7 +344,8 @@
         links_.send(holder, make_report(report_content::quotas_only));
 }
 
-state::instance_report peer_exchange::make_report(report_content content)
+state::instance_report peer_exchange::make_report(
+    report_content content, state::server_observations seen)
 {
     state::instance_report report;
     report.id = context_.settings.id;
@@ -324,6 +359,11 @@
         if (directory_source_.id == holder_.id)
             report.directory = directory_version_;
         report.directory_holder = directory_source_.incarnation;
+        bool const has_ratings = content != report_content::quotas_only &&
+                                 rating_source_.id == holder_.id &&
+                                 rating_source_.incarnation == directory_source_.incarnation;
+        if (has_ratings)
+            report.ratings = rating_version_;
         pending_reports_.push_back({report.sequence, now()});
         if (pending_reports_.size() > max_pending_reports)
             pending_reports_.pop_front();
@@ -344,6 +384,7 @@
                                              ? gateway_tables::max_usage_windows
                                              : recent_usage_windows);
     details.requests = requests_to_report();
+    report.observations = std::move(seen);
     return report;
 }
 
@@ -368,6 +409,7 @@
     if (report.details && report.details->requests)
         context_.tables.request_shares.record(
             writer, report.failure_domain, *report.details->requests, now());
+    context_.tables.server_ratings.merge(report.observations, now());
     if (context_.tables.instance_reports.apply(report, now()))
         log(log_event::instance_appeared,
             {{"instance", writer.id.str()}, {"life", std::to_string(writer.incarnation.count())}});
@@ -386,6 +428,8 @@
     if (report.details && report.details->requests)
         response.shares = context_.tables.request_shares.shares_of(report.id, now());
     add_directory(response, report);
+    if (report.details)
+        add_ratings(response, report);
     if (context_.tables.routes.current())
         response.operator_rows = {
             context_.tables.routes.newest(), context_.tables.routes.age(now()),
@@ -427,6 +471,40 @@
     response.directory = std::move(update);
 }
 
+void peer_exchange::add_ratings(
+    state::report_response& response, state::instance_report const& report)
+{
+    using coordination::server_rating_table;
+    auto& ratings = context_.tables.server_ratings;
+    if (ratings.size() == 0)
+        return;
+    bool const has_own_version = report.directory_holder == context_.incarnation;
+    auto const base = has_own_version ? report.ratings : state::rating_version{};
+    response.ratings = ratings.changes_since(base, server_rating_table::max_per_response, now());
+}
+
+void peer_exchange::apply_rating_update(
+    state::instance_incarnation const& source, state::rating_update const& update)
+{
+    auto const time = now();
+    state::time_point since{};
+    {
+        std::lock_guard lock(mutex_);
+        bool const is_new_source =
+            rating_source_.id != source.id || rating_source_.incarnation != source.incarnation;
+        if (is_new_source)
+        {
+            rating_source_ = source;
+            ratings_since_ = time;
+        }
+        rating_version_ = update.version;
+        since = ratings_since_;
+    }
+    auto& servers = context_.tables.servers;
+    servers.confirm_ratings(since, time);
+    servers.apply_ratings(update.changed, time);
+}
+
 void peer_exchange::confirm_configuration(
     state::operator_rows_status const& holder_rows, state::time_point reported_at)
 {
@@ -479,6 +557,8 @@
         confirm_configuration(*response.operator_rows, *reported_at);
     context_.clock.apply_agreed_offset(response.wall_offset);
     apply_traffic(response.shares);
+    if (response.ratings)
+        apply_rating_update(response.holder, *response.ratings);
     // Reports are more frequent while a quota runs low, so a response is valid for a shorter time.
     bool const low = context_.tables.quotas.report_is_urgent();
     apply_shares(
--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -82,8 +82,18 @@
     state::duration response_validity() const;
     state::duration holder_silence() const;
     void tick_as_holder();
-    void tick_as_follower(state::instance const& holder);
-    state::instance_report make_report(report_content content);
+    void tick_as_follower(state::instance const& holder, state::server_observations seen);
+    /// @param seen  what this instance has seen of its servers, for a report with details
+    state::instance_report make_report(
+        report_content content, state::server_observations seen = {});
+    /// Services whose servers are rated.
+    std::set<state::service_id> rated_services() const;
+    /// Rates the servers by what this instance has seen since the last call. @return what it was
+    state::server_observations observe_servers();
+    void rate_servers_as_holder();
+    void add_ratings(state::report_response& response, state::instance_report const& report);
+    void apply_rating_update(
+        state::instance_incarnation const& source, state::rating_update const& update);
     state::report_response response_to(state::instance_report const& report);
     void add_directory(state::report_response& response, state::instance_report const& report);
     void handle_report(connection_number via, state::instance_report report);
@@ -116,6 +126,9 @@
     bool holder_has_lease_ = false; ///< the known holder, or this instance, has the lease
     state::instance_incarnation directory_source_;  ///< sender of the last applied directory update
     state::directory_version directory_version_{0}; ///< counted by `directory_source_`
+    state::instance_incarnation rating_source_;     ///< sender of the last applied rating update
+    state::rating_version rating_version_;          ///< counted by `rating_source_`
+    state::time_point ratings_since_{};             ///< first update of `rating_source_`
     std::deque<pending_report> pending_reports_;
     std::optional<state::operator_rows_status> holder_rows_;   ///< as of `last_response_at_`
     coordination::directory_update_limiter directory_updates_; ///< used on the links' thread only
--- a/src/transport/request_dialect.hpp
+++ b/src/transport/request_dialect.hpp
@@ -31,6 +31,8 @@
     /// When the server, which turned the request away, wants something from this instance again.
     std::optional<state::return_time> returns;
     int malformed_statements = 0; ///< values that the server names of itself and can't be used
+    /// The same for its load, which has no effect on its other statements.
+    int malformed_loads = 0;
 };
 
 /// Port: how requests and responses carry the gateway's values in their headers.
--- a/src/transport/response_relay.cpp
+++ b/src/transport/response_relay.cpp
@@ -17,6 +17,13 @@
 /// A stream without an event for longer resumes at another server if its route permits that.
 constexpr state::duration max_stream_silence = std::chrono::milliseconds{1500};
 
+/// When sending an event to the caller takes longer, the caller delays the stream. The time to the
+/// next event then tells nothing of the server.
+constexpr state::duration max_undelayed_write = std::chrono::milliseconds{10};
+
+/// A read that waits for less returns events that had arrived before it.
+constexpr state::duration min_read_wait = std::chrono::milliseconds{1};
+
 relay_result result_of(http_error error)
 {
     switch (error)
@@ -107,6 +114,7 @@
 void response_relay::begin_attempt()
 {
     first_event_at_.reset();
+    intervals_ = {};
     has_told_of_answering_ = false;
 }
 
@@ -115,9 +123,17 @@
     return first_event_at_ && now() - *first_event_at_ >= answering_time;
 }
 
-void response_relay::record_event()
+void response_relay::report_intervals(std::optional<state::event_intervals> const& portion)
+{
+    if (portion && request_.on_intervals)
+        request_.on_intervals(*portion);
+}
+
+void response_relay::record_events(std::size_t count)
 {
-    first_event_at_ = first_event_at_.value_or(now());
+    auto const time = now();
+    first_event_at_ = first_event_at_.value_or(time);
+    report_intervals(intervals_.add(count, time));
     if (has_told_of_answering_ || !is_answering())
         return;
     has_told_of_answering_ = true;
@@ -125,10 +141,18 @@
 }
 
 net::awaitable<relay_result> response_relay::relay_stream(http_stream& response)
+{
+    auto const result = co_await relay_events(response);
+    report_intervals(intervals_.take());
+    co_return result;
+}
+
+net::awaitable<relay_result> response_relay::relay_events(http_stream& response)
 {
     event_splitter events;
     state::memory_reservation memory(context_.tables.buffer_memory);
     auto silent_since = now();
+    bool delayed_by_caller = false;
     for (;;)
     {
         auto const left = time_left();
@@ -144,7 +168,9 @@
         }
         auto const read_timeout =
             request_.may_resume_elsewhere ? std::min(left, max_stream_silence - silence) : left;
+        auto const reading_since = now();
         auto const chunk = co_await response.read(read_timeout);
+        delayed_by_caller = delayed_by_caller && now() - reading_since < min_read_wait;
         if (request_.cancel->cancelled())
             co_return relay_result::caller_left;
         if (!chunk)
@@ -166,7 +192,9 @@
         if (events.last_had_content())
         {
             silent_since = now();
-            record_event();
+            if (delayed_by_caller)
+                intervals_.skip_next();
+            record_events(events.last_content_events());
         }
         bool const broken_off = events.is_inside_event() || !first_event_at_;
         if (ended && response.ends_with_connection() && broken_off)
@@ -178,8 +206,14 @@
         bool const starts = !started_ && (!ready.empty() || ended);
         if (starts && !co_await begin(response))
             co_return relay_result::caller_left;
+        auto const sending_since = now();
         if (!ready.empty() && !co_await writer_.send_chunk(std::move(ready)))
             co_return relay_result::caller_left;
+        if (now() - sending_since > max_undelayed_write)
+        {
+            delayed_by_caller = true;
+            intervals_.skip_next();
+        }
         memory.try_resize_fairly(state::charged_bytes(events.capacity()));
         if (!ended)
             continue;
--- a/src/transport/response_relay.hpp
+++ b/src/transport/response_relay.hpp
@@ -1,6 +1,7 @@
 #ifndef AUBURNWEIR_TRANSPORT_RESPONSE_RELAY_HPP
 #define AUBURNWEIR_TRANSPORT_RESPONSE_RELAY_HPP
 
+#include "coordination/stream_intervals.hpp"
 #include "transport/gateway_context.hpp"
 #include "transport/response_writer.hpp"
 
@@ -30,6 +31,8 @@
     std::function<bool()> may_resume_elsewhere;
     /// Told once for each server whose stream has sent events for `answering_time`.
     std::function<void()> on_answering;
+    /// Told of the times between a stream's events, while it runs and at its end.
+    std::function<void(state::event_intervals const&)> on_intervals;
     std::shared_ptr<call_cancellation> cancel;
 };
 
@@ -69,8 +72,10 @@
 private:
     caller_response response_header(http_stream const& response) const;
     state::duration time_left() const;
+    net::awaitable<relay_result> relay_events(http_stream& response);
     net::awaitable<bool> begin(http_stream const& response);
-    void record_event();
+    void record_events(std::size_t count);
+    void report_intervals(std::optional<state::event_intervals> const& portion);
 
     gateway_context& context_;
     response_writer& writer_;
@@ -78,6 +83,7 @@
     bool started_ = false;
     std::optional<state::time_point> first_event_at_;
     bool has_told_of_answering_ = false;
+    coordination::stream_intervals intervals_; ///< of the current server
     std::string last_event_id_;
 };
 
--- a/tests/concurrency/shared_tables_test.cpp
+++ b/tests/concurrency/shared_tables_test.cpp
@@ -1,11 +1,14 @@
 #include "coordination/admission_queue.hpp"
 #include "coordination/prefix_index.hpp"
 #include "coordination/retry_policy.hpp"
+#include "coordination/server_rating_table.hpp"
 #include "state/backend_table.hpp"
 #include "state/counters.hpp"
 #include "state/instance_table.hpp"
 #include "state/journal.hpp"
+#include "state/server_observation_table.hpp"
 
+#include <atomic>
 #include <gtest/gtest.h>
 #include <thread>
 
@@ -58,6 +61,39 @@
     configuration_ptr config;
 };
 
+TEST_F(shared_tables_test, observations_of_concurrent_streams_are_reported_once)
+{
+    server_observation_table observations;
+    coordination::server_rating_table ratings;
+    observations.set_rated_services({service_id{"s"}});
+    std::atomic<std::uint64_t> reported{0};
+    auto const report = [&]
+    {
+        auto const seen = observations.take(time_point{});
+        ratings.merge(seen, time_point{});
+        (void)ratings.changes_since(rating_version{}, 2, time_point{});
+        for (auto const& o : seen)
+            reported += o.intervals.count;
+    };
+    on_all_threads(
+        [&](int t)
+        {
+            listed_server server;
+            server.id = backend_id{std::to_string(t % 4)};
+            server.service = service_id{"s"};
+            for (int i = 0; i < rounds_per_thread; ++i)
+            {
+                observations.record_intervals(server, {1, duration{20000}});
+                observations.record_load(server, {1, 0, 8, std::nullopt}, time_point{});
+                if (i % 50 == 0)
+                    report();
+            }
+        });
+    report();
+    EXPECT_EQ(reported, static_cast<std::uint64_t>(thread_count * rounds_per_thread));
+    EXPECT_EQ(ratings.size(), 4U);
+}
+
 TEST_F(shared_tables_test, backend_table_with_concurrent_requests_counts_each_request)
 {
     backend_table table;
--- a/tests/property/parser_property_test.cpp
+++ b/tests/property/parser_property_test.cpp
@@ -77,6 +77,23 @@
     }
     segments.digest = state::verdicts_digest{*rc::gen::arbitrary<std::uint64_t>()};
     report.acknowledged = arbitrary_acknowledged();
+    if (*rc::gen::arbitrary<bool>())
+        report.ratings = state::rating_version{*rc::gen::arbitrary<std::uint32_t>()};
+    auto const seen = *rc::gen::inRange(0, 3);
+    for (int i = 0; i < seen; ++i)
+    {
+        auto& o = report.observations.emplace_back();
+        o.id = state::backend_id{"b"};
+        o.incarnation = state::incarnation_number{*rc::gen::arbitrary<std::uint64_t>()};
+        o.intervals = {*rc::gen::arbitrary<std::uint64_t>(), state::duration{i}};
+        if (*rc::gen::arbitrary<bool>())
+        {
+            o.load = state::server_load{1, i, 8, std::nullopt};
+            o.load_age = state::duration{7};
+        }
+        if (o.load && *rc::gen::arbitrary<bool>())
+            o.load->work = state::work_factor{250};
+    }
     return report;
 }
 
@@ -102,6 +119,11 @@
         segments.granted_trials.push_back({state::suspect_group{8}, 2});
     if (*rc::gen::arbitrary<bool>())
         response.shares.emplace().by_domain[state::failure_domain_id{"d"}] = 0.25;
+    if (*rc::gen::arbitrary<bool>())
+        response.ratings = {
+            state::rating_version{*rc::gen::arbitrary<std::uint32_t>()},
+            {{state::backend_id{"b"}, state::incarnation_number{3}, state::duration{20000}, 4,
+              state::duration{*rc::gen::inRange(0, 100)}}}};
     return response;
 }
 
--- a/tests/unit/event_splitter_test.cpp
+++ b/tests/unit/event_splitter_test.cpp
@@ -36,6 +36,17 @@
     EXPECT_EQ(splitter.take_remainder(), "id: 3");
 }
 
+// Guards against servers that seem slow because their events arrive together.
+TEST_F(event_splitter_test, feed_of_several_events_counts_those_with_content)
+{
+    EXPECT_TRUE(
+        splitter.feed("id: 1\ndata: a\n\n: still here\n\ndata: b\n\ndata: c\ndata: d\n\nda"));
+    splitter.take_complete_events();
+    EXPECT_EQ(splitter.last_content_events(), 3U);
+    splitter.take_complete_events();
+    EXPECT_EQ(splitter.last_content_events(), 0U);
+}
+
 TEST_F(event_splitter_test, feed_of_comment_has_no_content)
 {
     EXPECT_TRUE(splitter.feed(": still here\n\n"));
