Send cold servers few requests, from the instances that own them

Cause: a server that is cold, for example after its start, tolerates coldPerS requests a second from all instances together and crashes well above. Change: rows (coldRemainingMs), responses (Auburnweir-Cold-Ms), the time since the listing of a new incarnation and the return of an evacuated domain say until when a server is cold. server_table answers closed for a cold server unless this instance owns it and its next request is due; owners follow from a hash of the server's id and the instance's rank (coordination/cold_shares). Directory updates carry the time that is left; the digest only whether the row says cold. A cold server counts with at least half of its slots as load.

--- a/src/coordination/server_choice.cpp
+++ b/src/coordination/server_choice.cpp
@@ -20,6 +20,9 @@
 /// A server that refused a request because it was full is avoided for this time.
 constexpr state::duration refusal_backoff = std::chrono::milliseconds{300};
 
+/// Part of its slots with which a cold server counts as loaded, at least.
+constexpr double cold_load_share = 0.5;
+
 struct loaded_server
 {
     server_view view;
@@ -100,7 +103,11 @@
 
 double estimated_load(server_view const& view, state::time_point now)
 {
-    auto const sent = static_cast<double>(view.in_flight);
+    auto sent = static_cast<double>(view.in_flight);
+    // A cold server is slower and takes few requests, so warm servers come first until they are
+    // half full. It must not count as full: it has to take its share when many servers are cold.
+    if (view.is_cold(now))
+        sent = std::max(sent, cold_load_share * static_cast<double>(view.listed.slots));
     if (!view.load)
         return sent;
     auto const reported = static_cast<double>(view.load->running + view.load->waiting);
--- a/src/protocol/instance_report_codec.cpp
+++ b/src/protocol/instance_report_codec.cpp
@@ -21,11 +21,21 @@
     return address;
 }
 
+state::duration read_duration(element_reader& in)
+{
+    auto const length = in.integer();
+    require(length >= 0, "duration is negative");
+    return state::duration{length};
+}
+
 json encode_server(state::listed_server const& s)
 {
-    return json::array(
+    auto out = json::array(
         {s.id.str(), s.incarnation.count(), s.service.str(), s.address.host, s.address.port,
          s.failure_domain.str(), s.version.str(), s.slots, s.draining, s.reclaimable});
+    if (s.cold_for)
+        out.push_back(s.cold_for->count());
+    return out;
 }
 
 state::listed_server read_server(json const& from)
@@ -41,6 +51,8 @@
     s.slots = in.integer();
     s.draining = in.flag();
     s.reclaimable = in.flag();
+    if (!in.at_end())
+        s.cold_for = read_duration(in);
     return s;
 }
 
@@ -223,13 +235,6 @@
     return out;
 }
 
-state::duration read_duration(element_reader& in)
-{
-    auto const length = in.integer();
-    require(length >= 0, "duration is negative");
-    return state::duration{length};
-}
-
 std::int64_t read_count(element_reader& in)
 {
     auto const count = in.integer();
--- a/src/state/directory_log.cpp
+++ b/src/state/directory_log.cpp
@@ -10,6 +10,18 @@
 namespace
 {
 
+/// Ends of a cold time that differ by less come from the same statement.
+constexpr duration cold_end_tolerance = std::chrono::seconds{1};
+
+/// Time that is left of a cold time that has ended. Not 0, which a row says of a warm server: the
+/// digests of the sender and the receiver would differ.
+constexpr duration ended_cold_time{1};
+
+bool is_cold(listed_server const& s)
+{
+    return s.cold_for && *s.cold_for > duration::zero();
+}
+
 std::uint64_t hash_of(listed_server const& s)
 {
     std::string text;
@@ -25,18 +37,34 @@
         text += std::to_string(number) + '\0';
     text += s.draining ? 'd' : ' ';
     text += s.reclaimable ? 'r' : ' ';
+    // What is left of a cold time depends on the moment of reading, so it is no part of the digest.
+    if (s.cold_for)
+        text += is_cold(s) ? 'c' : 'w';
     return XXH3_64bits(text.data(), text.size());
 }
 
 } // namespace
 
-void directory_log::record_listed(listed_server const& server)
+void directory_log::record_listed(listed_server const& server, time_point now)
 {
     ranked_lock lock(mutex_);
     auto const it = entries_.try_emplace(server.id).first;
     auto& e = it->second;
-    if (e.server == server)
-        return;
+    auto const cold_until = now + server.cold_for.value_or(duration::zero());
+    if (e.server)
+    {
+        auto same_but_time = server;
+        same_but_time.cold_for = e.server->cold_for;
+        bool const says_the_same = e.server->cold_for.has_value() == server.cold_for.has_value() &&
+                                   is_cold(*e.server) == is_cold(server);
+        bool const has_ended = std::max(cold_until, e.cold_until) <= now + ended_cold_time;
+        bool const same_end = !is_cold(server) || has_ended ||
+                              (e.cold_until > now &&
+                               std::chrono::abs(cold_until - e.cold_until) < cold_end_tolerance);
+        if (same_but_time == *e.server && says_the_same && same_end)
+            return;
+    }
+    e.cold_until = cold_until;
     if (!e.server)
         ++server_count_;
     e.server = server;
@@ -81,6 +109,14 @@
     read_at_ = requested_at;
 }
 
+listed_server directory_log::listed_at(entry const& e, time_point now)
+{
+    auto server = *e.server;
+    if (is_cold(server))
+        server.cold_for = std::max(e.cold_until - now, ended_cold_time);
+    return server;
+}
+
 directory_update directory_log::update_at(time_point now) const
 {
     directory_update update;
@@ -106,7 +142,7 @@
         if (e.version != version)
             continue; // changed again later
         if (e.server)
-            update.listed.push_back(*e.server);
+            update.listed.push_back(listed_at(e, now));
         else
             update.removed.push_back(change->second);
     }
@@ -122,7 +158,7 @@
     update.complete = true;
     for (auto const& [id, e] : entries_)
         if (e.server)
-            update.listed.push_back(*e.server);
+            update.listed.push_back(listed_at(e, now));
     return update;
 }
 
--- a/src/state/directory_log.hpp
+++ b/src/state/directory_log.hpp
@@ -41,7 +41,9 @@
 public:
     static constexpr std::size_t max_history = 1024;
 
-    void record_listed(listed_server const& server);
+    /// Records a row. A cold server's row that is renewed with the time that is left is no change,
+    /// nor is the end of that time.
+    void record_listed(listed_server const& server, time_point now = {});
     void record_removed(backend_id const& id);
 
     /// Records that a request sent at `requested_at` read the directory.
@@ -65,11 +67,13 @@
     struct entry
     {
         std::optional<listed_server> server; ///< null after removal
+        time_point cold_until{};             ///< if the server's row says whether it is cold
         std::uint64_t hash = 0;              ///< of the server; 0 after removal
         std::uint64_t version = 0;
     };
     using entries = std::map<backend_id, entry>;
 
+    static listed_server listed_at(entry const& e, time_point now);
     void record_change(entries::iterator changed, std::uint64_t hash);
     directory_update update_at(time_point now) const;
 
--- a/src/state/instance_report_table.hpp
+++ b/src/state/instance_report_table.hpp
@@ -1,6 +1,7 @@
 #ifndef AUBURNWEIR_STATE_INSTANCE_REPORT_TABLE_HPP
 #define AUBURNWEIR_STATE_INSTANCE_REPORT_TABLE_HPP
 
+#include "state/instance_rank.hpp"
 #include "state/instance_report.hpp"
 #include "state/lock_rank.hpp"
 
@@ -75,6 +76,18 @@
         return expired;
     }
 
+    /// Position of an instance among the sorted ids of those that report and of `own`, this
+    /// instance, which does not report to itself.
+    instance_rank rank_of(instance_id const& id, instance_id const& own) const
+    {
+        ranked_lock lock(mutex_);
+        auto const reporting_before = std::distance(entries_.begin(), entries_.lower_bound(id));
+        instance_rank result;
+        result.rank = static_cast<std::uint64_t>(reporting_before) + (own < id ? 1 : 0);
+        result.count = entries_.size() + 1;
+        return result;
+    }
+
     std::vector<reporting_instance> all() const
     {
         ranked_lock lock(mutex_);
--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -106,6 +106,7 @@
         "connections_full_of_refusals",
         "descriptors_exhausted",
         "directory_rows_held_back",
+        "backend_cold_times_changed",
     };
 
 } // namespace
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -122,6 +122,7 @@
     connections_full_of_refusals, ///< closed, as more refused requests are not remembered
     descriptors_exhausted,        ///< failures to accept a connection
     directory_rows_held_back,     ///< in each reading, rows of a copy that may list gone servers
+    backend_cold_times_changed,   ///< by answers, from warm to cold or the reverse
     count_
 };
 
--- a/src/state/server_table.cpp
+++ b/src/state/server_table.cpp
@@ -3,6 +3,7 @@
 #include "state/overloaded.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace auburnweir::state
 {
@@ -13,9 +14,13 @@
 
 /// Departures that are remembered; the oldest is dropped first.
 constexpr std::size_t max_departures = 4096;
+
+/// A row that is renewed with the time that is left names nearly the same end again.
+constexpr duration cold_end_tolerance = std::chrono::seconds{1};
 } // namespace
 
-server_table::change server_table::apply(listed_server const& listed, time_point now)
+server_table::change server_table::apply(
+    listed_server const& listed, time_point now, listing_context const& context)
 {
     ranked_lock lock(mutex_);
     auto& e = entries_[listed.id];
@@ -26,9 +31,16 @@
     {
         e = entry{};
         e.view.first_listed_at = now;
+        if (!context.is_first_reading)
+            e.assumed = assumed_cold{now, std::nullopt};
+        if (e.assumed && context.server_age)
+            e.assumed->started_at = now - *context.server_age;
     }
     e.view.missing_until.reset();
     e.view.listed = listed;
+    if (listed.cold_for)
+        record_row_cold(e, now + *listed.cold_for, now);
+    update_cold(e, now);
     if (listed.draining)
         record_departure(listed.id, listed.incarnation, now);
     bool const leaves = has_said_leaving(listed.id, listed.incarnation);
@@ -145,6 +157,11 @@
     auto opens_at = e.view.refusing_until;
     if (e.view.limit)
         opens_at = std::max(opens_at, e.view.limit->opens_at(shares_.of(domain)));
+    // A server that stays cold for longer than until this instance's next request opens then; one
+    // that this instance does not own opens when it is warm.
+    if (e.view.is_cold(now))
+        opens_at = std::max(
+            opens_at, std::min(*e.view.cold_until, e.cold.opens_at().value_or(time_point::max())));
     if (opens_at > now)
         return server_closed{opens_at};
     return server_open{};
@@ -236,6 +253,111 @@
         entries_, [](auto const& entry) { return entry.second.view.limit.has_value(); });
 }
 
+void server_table::set_cold_policy(cold_policy policy, time_point now)
+{
+    ranked_lock lock(mutex_);
+    cold_policy_ = std::move(policy);
+    update_all_cold(now);
+}
+
+void server_table::set_rank(instance_rank rank, time_point now)
+{
+    ranked_lock lock(mutex_);
+    rank_ = rank;
+    update_all_cold(now);
+}
+
+void server_table::update_all_cold(time_point now)
+{
+    for (auto& [id, e] : entries_)
+        update_cold(e, now);
+}
+
+void server_table::update_cold(entry& e, time_point now)
+{
+    auto const& listed = e.view.listed;
+    auto const service = cold_policy_.services.find(listed.service);
+    e.view.cold_until.reset();
+    if (service == cold_policy_.services.end())
+        return e.cold.set_interval(std::nullopt, now);
+    auto const cold_time = service->second.cold_time;
+    // An old process is warm, whenever this instance first saw it.
+    bool const is_old = e.assumed && e.assumed->started_at &&
+                        *e.assumed->started_at + cold_time <= e.assumed->since;
+    if (e.stated_cold_until)
+        e.view.cold_until = e.stated_cold_until;
+    else if (e.assumed && !is_old && cold_time > duration::zero())
+        e.view.cold_until = e.assumed->since + cold_time;
+    std::optional<duration> interval;
+    if (cold_policy_.interval_of)
+        interval = cold_policy_.interval_of(listed.id, rank_, service->second);
+    e.cold.set_interval(interval, now + cold_policy_.settle_time);
+}
+
+void server_table::record_row_cold(entry& e, time_point until, time_point now)
+{
+    auto const known = std::exchange(e.row_cold_until, until);
+    bool const is_warm_as_before = known && *known <= now && until <= now;
+    bool const is_same_end = known && *known > now && until > now &&
+                             std::chrono::abs(until - *known) < cold_end_tolerance;
+    // A response may have said something newer than a row that is listed again.
+    bool const is_outdated = is_same_end && e.stated_cold_until != known;
+    if (is_warm_as_before || is_outdated)
+        return;
+    e.stated_cold_until = until;
+    e.assumed.reset();
+}
+
+bool server_table::record_cold(
+    backend_id const& id, incarnation_number incarnation, duration cold_for, time_point now)
+{
+    ranked_lock lock(mutex_);
+    auto const it = entries_.find(id);
+    if (it == entries_.end() || it->second.view.listed.incarnation != incarnation)
+        return false;
+    auto& e = it->second;
+    bool const was_cold = e.view.is_cold(now);
+    e.stated_cold_until = now + cold_for;
+    e.assumed.reset();
+    update_cold(e, now);
+    return e.view.is_cold(now) != was_cold;
+}
+
+void server_table::record_return(failure_domain_id const& domain, time_point now)
+{
+    ranked_lock lock(mutex_);
+    for (auto& [id, e] : entries_)
+    {
+        auto const service = cold_policy_.services.find(e.view.listed.service);
+        bool const may_be_cold =
+            service != cold_policy_.services.end() && service->second.cold_time > duration::zero();
+        if (e.view.listed.failure_domain != domain || !may_be_cold)
+            continue;
+        // A longer time that the server named itself still holds.
+        auto const end = now + service->second.cold_time;
+        if (e.view.cold_until && *e.view.cold_until >= end)
+            continue;
+        e.stated_cold_until.reset();
+        e.assumed = assumed_cold{now, std::nullopt};
+        update_cold(e, now);
+    }
+}
+
+cold_summary server_table::summarise_cold(time_point now) const
+{
+    ranked_lock lock(mutex_);
+    cold_summary summary;
+    summary.requests_sent = cold_requests_sent_;
+    for (auto const& [id, e] : entries_)
+    {
+        if (!e.view.is_cold(now))
+            continue;
+        ++summary.servers;
+        summary.owned += e.cold.is_owner() ? 1 : 0;
+    }
+    return summary;
+}
+
 void server_table::set_evacuated(std::set<failure_domain_id> domains)
 {
     ranked_lock lock(mutex_);
@@ -258,6 +380,11 @@
     auto& v = it->second.view;
     if (v.limit)
         v.limit->record_sent(shares_.of(v.listed.failure_domain), now);
+    if (v.is_cold(now))
+    {
+        it->second.cold.record_sent(now);
+        ++cold_requests_sent_;
+    }
     ++v.in_flight;
     ++v.sent_since_load;
     return true;
--- a/src/state/server_table.hpp
+++ b/src/state/server_table.hpp
@@ -1,6 +1,7 @@
 #ifndef AUBURNWEIR_STATE_SERVER_TABLE_HPP
 #define AUBURNWEIR_STATE_SERVER_TABLE_HPP
 
+#include "state/cold_limit.hpp"
 #include "state/configuration.hpp"
 #include "state/ids.hpp"
 #include "state/lock_rank.hpp"
@@ -30,10 +31,19 @@
     std::int64_t slots = 1;
     bool draining = false;
     bool reclaimable = false;
+    /// For which the server stays cold, left at the time of the listing; null: not stated.
+    std::optional<duration> cold_for;
 
     friend bool operator==(listed_server const&, listed_server const&) = default;
 };
 
+/// What the reader of the directory knows beside a server's row.
+struct listing_context
+{
+    bool is_first_reading = false;      ///< the first of this process: its servers are not new
+    std::optional<duration> server_age; ///< since the server's start; null: unknown
+};
+
 /// How one request at a backend server ended, for the server's health.
 enum class server_outcome : std::uint8_t
 {
@@ -61,10 +71,13 @@
     double failure_share = 0;                     ///< of recent requests, exponentially smoothed
     /// Set for a server that is no longer listed after a store outage: until when it is used.
     std::optional<time_point> missing_until;
-    std::optional<send_limit> limit;     ///< that the server's last answer named
-    time_point refusing_until{};         ///< until when the server wants nothing from here
-    std::optional<server_rating> rating; ///< by all instances
+    std::optional<send_limit> limit;      ///< that the server's last answer named
+    time_point refusing_until{};          ///< until when the server wants nothing from here
+    std::optional<time_point> cold_until; ///< null: not cold
+    std::optional<server_rating> rating;  ///< by all instances
     time_point rated_at{};
+
+    bool is_cold(time_point now) const { return cold_until && *cold_until > now; }
 };
 
 /// A server that takes nothing from this instance for some time.
@@ -100,7 +113,7 @@
     };
 
     /// Adds or updates a server that the directory lists.
-    change apply(listed_server const& listed, time_point now);
+    change apply(listed_server const& listed, time_point now, listing_context const& context = {});
 
     /// Handles a server that the directory no longer lists.
     /// @param keep_until  use the server as missing until then, unless it is leaving; null: not at
@@ -159,6 +172,23 @@
     /// Sets this instance's shares of the servers' limits.
     void set_send_shares(send_shares shares);
 
+    /// Sets which services have cold servers and how instances share them.
+    void set_cold_policy(cold_policy policy, time_point now);
+
+    /// Sets this instance's rank, which decides what cold servers it owns.
+    void set_rank(instance_rank rank, time_point now);
+
+    /// Records for how long a server of this incarnation says that it stays cold; 0: it is warm.
+    /// @return whether it was cold before and now is not, or the reverse
+    bool record_cold(
+        backend_id const& id, incarnation_number incarnation, duration cold_for, time_point now);
+
+    /// Records that a failure domain is used again. Its servers may have become cold while nothing
+    /// was sent to them, so they count as cold for the time of their service.
+    void record_return(failure_domain_id const& domain, time_point now);
+
+    cold_summary summarise_cold(time_point now) const;
+
     /// Sets the failure domains whose servers get no requests.
     void set_evacuated(std::set<failure_domain_id> domains);
 
@@ -173,10 +203,21 @@
     void eject(backend_id const& id, time_point until);
 
 private:
+    /// A server that has not said whether it is cold, and may have begun to be.
+    struct assumed_cold
+    {
+        time_point since{};
+        std::optional<time_point> started_at; ///< of the server's process; null: unknown
+    };
+
     struct entry
     {
         server_view view;
         bool leaving = false;
+        std::optional<time_point> stated_cold_until; ///< by the newer of its row and its responses
+        std::optional<time_point> row_cold_until;    ///< by its row
+        std::optional<assumed_cold> assumed;         ///< null once the server has said more
+        cold_limit cold;
     };
 
     /// An incarnation that said that it leaves, in an answer or in the directory.
@@ -191,11 +232,19 @@
     bool record_departure(backend_id const& id, incarnation_number incarnation, time_point now);
     bool has_said_leaving(backend_id const& id, incarnation_number incarnation) const;
 
+    static void record_row_cold(entry& e, time_point until, time_point now);
+    /// Derives what follows from the entry's statements, the policy and the rank.
+    void update_cold(entry& e, time_point now);
+    void update_all_cold(time_point now);
+
     server_availability availability_of(
         entry const& e, placement_rule const& rule, time_point now) const;
 
     mutable ranked_mutex mutex_{lock_rank::backend_table};
     send_shares shares_;
+    cold_policy cold_policy_;
+    instance_rank rank_;
+    std::uint64_t cold_requests_sent_ = 0;
     std::set<failure_domain_id> evacuated_;
     std::map<backend_id, entry> entries_;
     std::map<backend_id, departure> departures_;
--- a/src/transport/attempt_recorder.cpp
+++ b/src/transport/attempt_recorder.cpp
@@ -69,10 +69,24 @@
         state::event_counter::malformed_statements,
         static_cast<std::uint64_t>(response.malformed_statements));
     record_limit(server, response);
+    if (response.cold_for)
+        record_cold(server, *response.cold_for);
     if (response.returns)
         record_return_time(server, *response.returns);
 }
 
+void attempt_recorder::record_cold(state::server_view const& server, state::duration cold_for)
+{
+    auto& tables = context_.tables;
+    auto const& id = server.listed.id;
+    if (!tables.servers.record_cold(id, server.listed.incarnation, cold_for, now()))
+        return;
+    tables.counters.increment(state::event_counter::backend_cold_times_changed);
+    auto const for_ms = std::chrono::ceil<std::chrono::milliseconds>(cold_for).count();
+    log(log_event::backend_cold,
+        {{"backend", id.str()}, {"for_ms", std::to_string(for_ms)}, {"why", "its_answer"}});
+}
+
 void attempt_recorder::record_limit(
     state::server_view const& server, backend_headers const& response)
 {
--- a/src/transport/attempt_recorder.hpp
+++ b/src/transport/attempt_recorder.hpp
@@ -38,6 +38,7 @@
 
 private:
     void record_return_time(state::server_view const& server, state::return_time const& returns);
+    void record_cold(state::server_view const& server, state::duration cold_for);
     void record_limit(state::server_view const& server, backend_headers const& response);
     static net::awaitable<void> check_server(
         gateway_context& context, worker& assigned_worker, state::server_view server);
--- a/src/transport/directory_sync.cpp
+++ b/src/transport/directory_sync.cpp
@@ -50,6 +50,7 @@
         state::event_counter::directory_rows_held_back, copied_rows_.size());
     if (is_full_listing)
         remove_unlisted(listed);
+    has_applied_ = true;
     context_.tables.directory_log.confirm(listing.requested_at);
     return true;
 }
@@ -72,6 +73,7 @@
         remove_server(id);
     if (update.complete)
         remove_unlisted(listed);
+    has_applied_ = has_applied_ || has_changes;
     return true;
 }
 
@@ -101,6 +103,7 @@
             apply_row(row);
     for (auto const& expired : context_.tables.servers.expire_missing(now()))
     {
+        cold_rows_.erase(expired);
         context_.tables.directory_log.record_removed(expired);
         log(log_event::backend_gone, {{"backend", expired.str()}, {"why", "not_listed_again"}});
     }
@@ -124,18 +127,52 @@
 
 void directory_sync::apply_row(stored_row const& row)
 {
-    auto const listed = context_.ports.format.server(row.key, row.value);
-    if (listed)
-        apply_server(*listed);
-    else
+    auto listed = context_.ports.format.server(row.key, row.value);
+    if (!listed)
+    {
         log(log_event::backend_row_unreadable, {{"backend", row.key}});
+        return;
+    }
+    count_down_cold_time(*listed, row.version);
+    apply_server(*listed);
+}
+
+void directory_sync::count_down_cold_time(state::listed_server& listed, state::row_version version)
+{
+    if (!listed.cold_for || *listed.cold_for <= state::duration::zero())
+    {
+        cold_rows_.erase(listed.id);
+        return;
+    }
+    auto& known = cold_rows_[listed.id];
+    if (known.at == state::time_point{} || known.version != version)
+        known = {version, now()};
+    // Not 0, which would say that the row names no cold time.
+    listed.cold_for = std::max(*listed.cold_for - (now() - known.at), state::duration{1});
 }
 
 void directory_sync::apply_server(state::listed_server const& listed)
 {
-    context_.tables.directory_log.record_listed(listed);
+    context_.tables.directory_log.record_listed(listed, now());
+    state::listing_context about;
+    about.is_first_reading = !has_applied_;
+    auto const unknown_start = state::incarnation_number{0};
+    if (listed.incarnation != unknown_start)
+        about.server_age =
+            context_.clock.true_time().time_since_epoch() -
+            std::chrono::milliseconds{static_cast<std::int64_t>(listed.incarnation.count())};
+    auto const before = context_.tables.servers.view(listed.id);
     using change = state::server_table::change;
-    auto const result = context_.tables.servers.apply(listed, now());
+    auto const result = context_.tables.servers.apply(listed, now(), about);
+    bool const was_cold = before && before->is_cold(now());
+    auto const after = context_.tables.servers.view(listed.id);
+    if (after && after->is_cold(now()) && (!was_cold || result == change::added))
+    {
+        auto const left = std::chrono::ceil<std::chrono::milliseconds>(*after->cold_until - now());
+        log(log_event::backend_cold, {{"backend", listed.id.str()},
+                                      {"for_ms", std::to_string(left.count())},
+                                      {"why", listed.cold_for ? "its_row" : "started"}});
+    }
     if (result == change::none)
         return;
     log(result == change::leaving ? log_event::backend_leaving : log_event::backend_listed,
@@ -158,6 +195,7 @@
         id, may_be_relisted ? std::optional{relisted_until} : std::nullopt);
     if (result != change::removed)
         return;
+    cold_rows_.erase(id);
     context_.tables.directory_log.record_removed(id);
     log(log_event::backend_gone, {{"backend", id.str()}, {"why", "not_listed"}});
 }
--- a/src/transport/directory_sync.hpp
+++ b/src/transport/directory_sync.hpp
@@ -54,6 +54,9 @@
     /// Whether a row may be such a copy and lists a server that this instance does not know.
     bool may_list_gone_server(stored_row const& row) const;
     void apply_row(stored_row const& row);
+    /// Adapts what a row says of its server's cold time, which counts from the row's writing: when
+    /// the same version is read again, that time has passed in part.
+    void count_down_cold_time(state::listed_server& listed, state::row_version version);
     void apply_server(state::listed_server const& listed);
     void remove_server(state::backend_id const& id);
     void remove_unlisted(std::set<state::backend_id> const& listed);
@@ -63,6 +66,14 @@
     std::optional<state::store_era> era_; ///< of the last listing
     /// Rows that are not applied until the store has had time to remove those of gone servers.
     std::map<state::backend_id, stored_row> copied_rows_;
+    /// A version of a row, and when this instance first read it.
+    struct read_row
+    {
+        state::row_version version;
+        state::time_point at{};
+    };
+    std::map<state::backend_id, read_row> cold_rows_; ///< rows that name a cold time
+    bool has_applied_ = false;                        ///< the directory, at least once
     state::time_point store_failed_at_{};
     state::time_point holder_update_at_{}; ///< when the holder read what was last applied from it
     state::time_point own_read_at_{};      ///< when this instance requested what it last applied
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -118,6 +118,12 @@
          "a backend server no longer names a limit"},
         {e::backend_refuses, l::info, "backend_refuses",
          "a backend server turned a request away and wants nothing from this instance for a time"},
+        {e::backend_cold, l::info, "backend_cold",
+         "a backend server is cold for a time and gets few requests; 0 ms: it is warm"},
+        {e::instance_ranked, l::info, "instance_ranked",
+         "this instance's rank among the known instances has changed; it decides which cold "
+         "servers "
+         "get requests from here"},
         {e::stream_moved, l::info, "stream_moved", "an answer continues on another backend server"},
         {e::stream_failed, l::warning, "stream_failed", "an answer could not be completed"},
         {e::journal_adopted, l::warning, "journal_adopted",
--- a/src/transport/log.hpp
+++ b/src/transport/log.hpp
@@ -45,6 +45,8 @@
     backend_limited = 2112,
     backend_limit_lifted = 2113,
     backend_refuses = 2114,
+    backend_cold = 2121,
+    instance_ranked = 2122,
     stream_moved = 2201,
     stream_failed = 2202,
     journal_adopted = 2203,
--- a/src/transport/request_dialect.hpp
+++ b/src/transport/request_dialect.hpp
@@ -28,6 +28,7 @@
     bool leaving = false; ///< the server states that it takes no more requests in its lifetime
     std::optional<state::server_load> load;
     std::optional<state::request_rate> rate_limit; ///< that the server takes from all instances
+    std::optional<state::duration> cold_for; ///< for which the server stays cold; null: unstated
     /// When the server, which turned the request away, wants something from this instance again.
     std::optional<state::return_time> returns;
     int malformed_statements = 0; ///< values that the server names of itself and can't be used
--- a/src/transport/store_watch.cpp
+++ b/src/transport/store_watch.cpp
@@ -1,5 +1,6 @@
 #include "transport/store_watch.hpp"
 
+#include "coordination/cold_shares.hpp"
 #include "coordination/store_pacing.hpp"
 #include "transport/async_signal.hpp"
 #include "transport/log.hpp"
@@ -270,6 +271,9 @@
     auto const organisations = routes->organisations().size();
     routes_were_read_ = true;
     auto const active = context_.tables.routes.current();
+    auto const& settings = context_.settings;
+    auto cold_servers = coordination::cold_policy_for(
+        routes->services(), {settings.cold_overrun, settings.cold_slack}, settings.report_period);
     if (!context_.tables.routes.apply(std::move(routes)))
     {
         if (version < active->version())
@@ -278,6 +282,7 @@
                  {"in_force", std::to_string(active->version().count())}});
         return;
     }
+    context_.tables.servers.set_cold_policy(std::move(cold_servers), now());
     log(log_event::configuration_taken, {{"version", std::to_string(version.count())},
                                          {"routes", std::to_string(count)},
                                          {"organisations", std::to_string(organisations)}});
--- a/tests/unit/directory_log_test.cpp
+++ b/tests/unit/directory_log_test.cpp
@@ -102,6 +102,53 @@
     EXPECT_EQ(log.full_copy(start)->listed.size(), 2U);
 }
 
+// Guards against a directory that is sent to all instances whenever a cold server renews its row.
+TEST_F(directory_log_test, renewed_row_of_a_cold_server_is_no_change)
+{
+    auto row = server("a");
+    row.cold_for = 30s;
+    log.record_listed(row, start);
+    log.confirm(start);
+    auto const base = log.full_copy(start)->version;
+    row.cold_for = 28s;
+    log.record_listed(row, start + 2s);
+    EXPECT_TRUE(log.changes_since(base, start + 2s)->listed.empty());
+    row.cold_for = 60s;
+    log.record_listed(row, start + 3s);
+    EXPECT_EQ(log.changes_since(base, start + 3s)->listed.size(), 1U);
+}
+
+TEST_F(directory_log_test, update_states_what_is_left_of_a_cold_time)
+{
+    auto row = server("a");
+    row.cold_for = 30s;
+    log.record_listed(row, start);
+    log.record_listed(server("b"), start);
+    log.confirm(start);
+    auto const update = log.full_copy(start + 10s);
+    EXPECT_EQ(update->listed.at(0).cold_for, 20s);
+    EXPECT_FALSE(update->listed.at(1).cold_for);
+    EXPECT_LT(log.full_copy(start + 1h)->listed.at(0).cold_for, 1ms);
+}
+
+// Guards against copies of the whole directory for instances that read the store at another time.
+TEST_F(directory_log_test, digest_depends_on_whether_a_row_says_cold_and_not_on_the_time_left)
+{
+    auto row = server("a");
+    row.cold_for = 30s;
+    log.record_listed(row, start);
+    log.confirm(start);
+    for (auto const later : {5s, 60s})
+    {
+        directory_log copy;
+        copy.record_listed(log.full_copy(start + later)->listed.at(0), start + later);
+        EXPECT_EQ(copy.digest(), log.digest());
+    }
+    row.cold_for = 0s;
+    other.record_listed(row, start);
+    EXPECT_NE(other.digest(), log.digest());
+}
+
 TEST_F(directory_log_test, removed_servers_beyond_history_are_forgotten)
 {
     // A deployment whose servers come and go for days.
--- a/tests/unit/directory_sync_test.cpp
+++ b/tests/unit/directory_sync_test.cpp
@@ -1,5 +1,6 @@
 #include "transport/directory_sync.hpp"
 
+#include "coordination/cold_shares.hpp"
 #include "platform/cloud_client.hpp"
 #include "platform/format.hpp"
 #include "platform/headers.hpp"
@@ -120,6 +121,50 @@
     EXPECT_TRUE(directory.holder_updates_are_fresh());
 }
 
+// Guards against COLD: servers that appear after the start of this process get all requests at
+// once.
+TEST_F(directory_sync_test, servers_of_the_first_reading_are_warm_and_young_ones_after_it_are_cold)
+{
+    state::routed_service service;
+    service.id = state::service_id{"desk"};
+    service.cold_time = 20s;
+    service.cold_per_second = 9.9;
+    tables.servers.set_cold_policy(coordination::cold_policy_for({service}, {}, 300ms), now());
+    auto const young_row = [&](std::string id)
+    {
+        auto r = row(std::move(id));
+        auto const born = std::to_string(clock.true_time().time_since_epoch().count());
+        r.value.replace(r.value.find(":1000}"), 6, ":" + born + "}");
+        return r;
+    };
+    ASSERT_TRUE(directory.apply_rows(listing({young_row("first")}, start), true));
+    ASSERT_TRUE(
+        directory.apply_rows(listing({young_row("young"), row("old")}, start + 100ms), false));
+    EXPECT_TRUE(is_open("first"));
+    EXPECT_FALSE(is_open("young"));
+    EXPECT_TRUE(is_open("old"));
+}
+
+// Guards against COLD: a server that stays cold as its unchanged row is read again.
+TEST_F(directory_sync_test, cold_time_of_a_row_counts_from_its_first_reading)
+{
+    state::routed_service service;
+    service.id = state::service_id{"desk"};
+    service.cold_per_second = 9.9;
+    tables.servers.set_cold_policy(coordination::cold_policy_for({service}, {}, 300ms), now());
+    auto cold = row("a");
+    cold.version = state::row_version{7};
+    cold.value.replace(cold.value.find("}"), 1, R"(,"coldRemainingMs":200})");
+    ASSERT_TRUE(directory.apply_rows(listing({cold}, start), true));
+    EXPECT_FALSE(is_open("a"));
+    std::this_thread::sleep_for(250ms);
+    ASSERT_TRUE(directory.apply_rows(listing({cold}, now()), true));
+    EXPECT_TRUE(is_open("a"));
+    cold.version = state::row_version{8};
+    ASSERT_TRUE(directory.apply_rows(listing({cold}, now()), true));
+    EXPECT_FALSE(is_open("a"));
+}
+
 // Guards against DRAIN: a server that left after the store's return is used for a whole time-out
 // more.
 TEST_F(directory_sync_test, server_removed_after_store_error_is_used_until_servers_are_listed_again)
