Tell instances their rank among the known ones

Cause: who owns a cold server depends on the rank of the instances. Change: the holder computes ranks among the sorted ids that report to it, its own included, once as many report as it knew before; report responses carry them where a service has cold servers. After a start the rank comes from the rows of auburnweir-instances, 2 s later, as the first reading of a first start shows a part of them. /status, gauges and AW2122 show the rank and the cold servers.

--- a/src/protocol/gateway_status.cpp
+++ b/src/protocol/gateway_status.cpp
@@ -61,6 +61,7 @@
         {"ejected", ejected},
         {"in_progress", server.in_flight},
         {"limit_per_second", server.limit ? json(server.limit->rate().count()) : json()},
+        {"cold_for_ms", server.is_cold(now) ? milliseconds(*server.cold_until - now) : 0},
         {"failure_share", server.failure_share}};
 }
 
@@ -84,6 +85,8 @@
         {"stopping", status.stopping},
         {"holds_duties", status.holds_duties},
         {"duties_held_by", status.duties_holder.str()},
+        {"rank", status.rank.rank},
+        {"ranked_instances", status.rank.count},
         {"configuration", encode_configuration(status)},
         {"instances", json::array()},
         {"quarantined_segments", json::array()},
--- a/src/protocol/gateway_status.hpp
+++ b/src/protocol/gateway_status.hpp
@@ -24,6 +24,7 @@
     state::route_set_ptr routes; ///< null until a first configuration is applied
     state::duration routes_age{0};
     state::instance_id duties_holder;                 ///< empty when unknown
+    state::instance_rank rank;                        ///< among the known instances
     std::vector<state::reporting_instance> instances; ///< the others; only set on the duty holder
     std::vector<state::server_view> servers;
     std::vector<state::segment_verdict> quarantined_segments;
--- a/src/transport/gateway_server.cpp
+++ b/src/transport/gateway_server.cpp
@@ -175,6 +175,11 @@
     protocol::append_gauge(
         reply.body, "server_departures_dropped",
         static_cast<double>(tables.servers.dropped_departures()));
+    auto const cold = tables.servers.summarise_cold(now());
+    protocol::append_gauge(reply.body, "cold_servers", static_cast<double>(cold.servers));
+    protocol::append_gauge(reply.body, "cold_servers_owned", static_cast<double>(cold.owned));
+    protocol::append_gauge(
+        reply.body, "cold_requests_sent", static_cast<double>(cold.requests_sent));
     protocol::append_gauge(
         reply.body, "log_lines_dropped", static_cast<double>(log_lines_dropped()));
     if (auto const routes = tables.routes.current())
@@ -193,6 +198,7 @@
     status.stopping = phase != stop_phase::running;
     status.holds_duties = peers.is_holder();
     status.duties_holder = peers.holder();
+    status.rank = peers.rank();
     status.routes = tables.routes.current();
     status.now = now();
     status.routes_age = tables.routes.age(status.now);
--- a/src/transport/instance_registry.cpp
+++ b/src/transport/instance_registry.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/async_signal.hpp"
 
+#include <algorithm>
 #include <random>
 
 namespace auburnweir::transport
@@ -55,7 +56,7 @@
     co_await register_instance();
 }
 
-net::awaitable<std::uint64_t> instance_registry::count_instances()
+net::awaitable<state::instance_rank> instance_registry::rank_among_instances()
 {
     table_name const table{instance_table_name};
     for (;;)
@@ -63,7 +64,12 @@
         auto const listing =
             co_await context_.ports.store.read_table(table, context_.settings.store_timeout);
         if (listing)
-            co_return listing.value().rows.size();
+        {
+            auto const& rows = listing.value().rows;
+            auto const before = std::ranges::count_if(
+                rows, [&](stored_row const& row) { return row.key < context_.settings.id.str(); });
+            co_return state::instance_rank{static_cast<std::uint64_t>(before), rows.size()};
+        }
         co_await sleep_for(context_.workers.at(0).io(), store_retry_delay);
     }
 }
--- a/src/transport/instance_registry.hpp
+++ b/src/transport/instance_registry.hpp
@@ -23,8 +23,9 @@
     /// Registers this instance once more when the store may have lost its row.
     void renew_registration();
 
-    /// Reads the number of instances; tries until the store responds.
-    net::awaitable<std::uint64_t> count_instances();
+    /// Reads the rank of this instance among those that have a row, and their number; tries until
+    /// the store responds.
+    net::awaitable<state::instance_rank> rank_among_instances();
 
 private:
     net::awaitable<void> register_after_jitter();
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -46,6 +46,19 @@
 /// Time in which instances that start together have written their rows.
 constexpr state::duration startup_registration_time = std::chrono::seconds{2};
 
+/// Time in which the instances find a new holder; until then it knows some of them only. Ranks
+/// among few instances would give each of them a large part of what cold servers tolerate.
+constexpr state::duration min_rank_settle_time = std::chrono::seconds{2};
+
+/// Whether ranks have a use: without cold servers no instance is told its rank.
+bool has_cold_services(gateway_tables const& tables)
+{
+    auto const routes = tables.routes.current();
+    return routes && std::ranges::any_of(
+                         routes->services(),
+                         [](state::routed_service const& s) { return s.cold_per_second > 0; });
+}
+
 } // namespace
 
 peer_exchange::peer_exchange(gateway_context& context, peer_links& links, directory_sync& directory)
@@ -73,13 +86,19 @@
     for (auto const pause : {state::duration::zero(), startup_registration_time})
     {
         co_await sleep_for(context_.workers.at(0).io(), pause);
+        bool const needs_rank = rank().count == 0 && has_cold_services(context_.tables);
+        if (holder_rows() && !(needs_rank && pause > state::duration::zero()))
+            continue;
+        auto const registered = co_await registry_.rank_among_instances();
+        // At the first start the first reading finds a part of the instances only.
+        if (pause > state::duration::zero() && rank().count == 0)
+            apply_rank(registered, "instance_rows");
         if (holder_rows())
             co_return;
-        auto const registered = co_await registry_.count_instances();
         std::uint64_t known = 0;
         {
             std::lock_guard lock(mutex_);
-            known_instances_ = std::max(known_instances_, registered);
+            known_instances_ = std::max(known_instances_, registered.count);
             known = holder_.id.empty() ? known_instances_ : 0;
         }
         if (known > 0)
@@ -117,6 +136,7 @@
     holder_has_lease_ = true;
     instances_before_takeover_ = known_instances_;
     holder_since_ = now();
+    ranks_are_settled_ = false;
 }
 
 void peer_exchange::step_down()
@@ -176,6 +196,24 @@
     return known_instances_;
 }
 
+state::instance_rank peer_exchange::rank() const
+{
+    std::lock_guard lock(rank_mutex_);
+    return rank_;
+}
+
+void peer_exchange::apply_rank(state::instance_rank rank, std::string_view source)
+{
+    std::lock_guard lock(rank_mutex_);
+    if (rank.count == 0 || rank == rank_)
+        return;
+    rank_ = rank;
+    context_.tables.servers.set_rank(rank, now());
+    log(log_event::instance_ranked, {{"rank", std::to_string(rank.rank)},
+                                     {"instances", std::to_string(rank.count)},
+                                     {"source", std::string{source}}});
+}
+
 void peer_exchange::tick()
 {
     state::instance holder;
@@ -271,14 +309,22 @@
     }
     context_.clock.apply_agreed_offset(coordination::agreed_offset(std::move(wall_offsets)));
     std::uint64_t known = members.size() + 1;
+    bool gives_ranks = false;
     {
         std::lock_guard lock(mutex_);
+        auto const held_for = time - holder_since_;
+        ranks_are_settled_ =
+            ranks_are_settled_ || held_for >= silent_instance_expiry ||
+            (held_for >= min_rank_settle_time && known >= instances_before_takeover_);
+        gives_ranks = ranks_are_settled_ && holder_has_lease_;
         // Instances that have not found this holder yet still use their share.
         if (time - holder_since_ < silent_instance_expiry)
             known = std::max(known, instances_before_takeover_);
         known_instances_ = known;
         live_instances_ = live;
     }
+    if (gives_ranks && has_cold_services(context_.tables))
+        apply_rank(reports.rank_of(context_.settings.id, context_.settings.id), "own_reports");
     share_limits_as_holder();
     apply_shares(live, known, silent_instance_expiry);
 }
@@ -390,7 +436,12 @@
         response.operator_rows = {
             context_.tables.routes.newest(), context_.tables.routes.age(now()),
             context_.tables.acknowledged.current()};
+    state::instance_rank rank;
+    if (has_cold_services(context_.tables))
+        rank = context_.tables.instance_reports.rank_of(report.id, context_.settings.id);
     std::lock_guard lock(mutex_);
+    if (ranks_are_settled_ && holder_has_lease_)
+        response.rank = rank;
     response.holds_lease = holder_has_lease_;
     response.instance_count = known_instances_;
     response.live_instance_count = live_instances_;
@@ -478,6 +529,8 @@
     if (response.operator_rows && reported_at)
         confirm_configuration(*response.operator_rows, *reported_at);
     context_.clock.apply_agreed_offset(response.wall_offset);
+    if (reported_at)
+        apply_rank(response.rank, "holder");
     apply_traffic(response.shares);
     // Reports are more frequent while a quota runs low, so a response is valid for a shorter time.
     bool const low = context_.tables.quotas.report_is_urgent();
--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -16,7 +16,7 @@
 /// number of instances and not with its square.
 ///
 /// Without a holder, an instance uses only its local share of the limits. Thread-safe; no other
-/// lock is held together with its lock.
+/// lock is held together with its lock. That of the rank is taken before the servers' table's.
 class peer_exchange
 {
 public:
@@ -60,6 +60,9 @@
     /// Known number of instances, including this one; 0 when it is not known yet.
     std::uint64_t instance_count() const;
 
+    /// Rank of this instance among the known instances, as last learned.
+    state::instance_rank rank() const;
+
 private:
     /// What a report carries beside the use of quotas.
     enum class report_content : std::uint8_t
@@ -79,6 +82,8 @@
     std::optional<std::uint64_t> requests_to_report() const;
     void apply_traffic(std::optional<state::traffic_shares> const& traffic);
     void share_limits_as_holder();
+    /// @param source  for the log: who counted the instances
+    void apply_rank(state::instance_rank rank, std::string_view source);
     state::duration response_validity() const;
     state::duration holder_silence() const;
     void tick_as_holder();
@@ -123,7 +128,13 @@
     std::uint64_t live_instances_ = 1;  ///< maintained by the holder
     std::uint64_t instances_before_takeover_ = 0; ///< known when this instance became the holder
     state::time_point holder_since_{};
+    /// As the holder: those instances that were known before have reported, or had time to.
+    bool ranks_are_settled_ = false;
     state::time_point traffic_known_until_{}; ///< end of the last division of limits by traffic
+
+    /// Held while the servers' table is told the rank, so that it gets the newest last.
+    mutable std::mutex rank_mutex_;
+    state::instance_rank rank_; ///< of this instance, as last learned; guarded by `rank_mutex_`
 };
 
 } // namespace auburnweir::transport
