--- a/src/state/evacuation_table.cpp
+++ b/src/state/evacuation_table.cpp
@@ -108,9 +108,10 @@
     std::ranges::set_difference(before, after, std::back_inserter(change.ended));
     if (change.began.empty() && change.ended.empty())
         return change;
-    servers_.set_evacuated(after);
+    // The servers that return count as cold before another worker may choose them.
     for (auto const& domain : change.ended)
         servers_.record_return(domain, now);
+    servers_.set_evacuated(after);
     return change;
 }
 
--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -112,6 +112,7 @@
         "requests_placed_over_deployment",
         "requests_placed_in_subset",
         "requests_left_lane",
+        "backend_cold_times_changed",
     };
 
 } // namespace
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -127,7 +127,8 @@
     domains_returned,             ///< and those that ended
     requests_placed_over_deployment,
     requests_placed_in_subset,
-    requests_left_lane, ///< their lane had no server
+    requests_left_lane,         ///< their lane had no server
+    backend_cold_times_changed, ///< by answers, from warm to cold or the reverse
     count_
 };
 
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -125,6 +125,12 @@
          "`source` is the store or the holder of the duties"},
         {e::domain_returned, l::info, "domain_returned",
          "the evacuation of a failure domain has ended: its servers get requests again"},
+        {e::backend_cold, l::info, "backend_cold",
+         "a backend server is cold for a time and gets few requests; 0 ms: it is warm"},
+        {e::instance_ranked, l::info, "instance_ranked",
+         "this instance's rank among the known instances has changed; it decides which cold "
+         "servers "
+         "get requests from here"},
         {e::stream_moved, l::info, "stream_moved", "an answer continues on another backend server"},
         {e::stream_failed, l::warning, "stream_failed", "an answer could not be completed"},
         {e::journal_adopted, l::warning, "journal_adopted",
--- a/src/transport/log.hpp
+++ b/src/transport/log.hpp
@@ -47,6 +47,8 @@
     backend_refuses = 2114,
     domain_evacuated = 2121,
     domain_returned = 2122,
+    backend_cold = 2123,
+    instance_ranked = 2124,
     stream_moved = 2201,
     stream_failed = 2202,
     journal_adopted = 2203,
