Take a response without a length for complete only if the socket proves it

Cause: a body without a length ends with the connection, and the client took each end of file for that end. Linux reports a reset once. While the request is being written the write gets it, and the reader sees an end of file. An orderly close during the upload looked complete as well. Beast accepts any three digits as status: 600 to 999 were passed on, 000 to 099 skipped as interim responses.

Change: such a body is complete only if the write has ended without an error, the server's kernel has acknowledged the whole request (SIOCOUTQ) and the socket is in CLOSE_WAIT, that is, a FIN and no reset arrived. After a request of more than 64 KiB this must still hold 10 ms later. A status outside 100 to 599 makes the attempt lost. Both are decided in http_client, for the gateway, the store, the cloud API and the entry program.

--- a/src/protocol/status_line.cpp
+++ b/src/protocol/status_line.cpp
@@ -39,4 +39,11 @@
     return false;
 }
 
+bool is_valid_status(int status)
+{
+    constexpr int first_status = 100;
+    constexpr int last_status = 599;
+    return status >= first_status && status <= last_status;
+}
+
 } // namespace auburnweir::protocol
--- a/src/protocol/status_line.hpp
+++ b/src/protocol/status_line.hpp
@@ -10,6 +10,9 @@
 /// breaks off within a line of its header takes in the first line of the next one.
 bool contains_status_line(std::string_view header_text);
 
+/// Whether a response can have this status. HTTP defines five classes, 1xx to 5xx.
+bool is_valid_status(int status);
+
 } // namespace auburnweir::protocol
 
 #endif
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -41,6 +41,16 @@
 
 constexpr int first_final_status = 200;
 
+/// After the end of a response without a length, how long a reset is waited for that the server
+/// sends right after its FIN, as one does that stops without having read the whole request. Longer
+/// than a round trip between failure domains.
+constexpr state::duration max_reset_delay = std::chrono::milliseconds{10};
+
+/// Only responses to requests with a longer body wait for a reset, so that most streams end without
+/// a delay. A server that closes without having read a shorter one sends a reset in place of the
+/// FIN: the body fits the half of its receive buffer (128 KiB by default) that it announces.
+constexpr std::size_t max_body_without_delay = std::size_t{64} * 1024;
+
 /// How long an idle connection may be used: from `Keep-Alive: timeout=N`, or an hour without it.
 state::duration max_idle_time_from(http_fields const& headers)
 {
@@ -107,6 +117,9 @@
     /// system call; the library's composed read makes two calls and dispatches several handlers.
     net::awaitable<error_code> receive(auburnweir::state::duration timeout);
 
+    /// At the end of a connection that ends a body: whether it shows that the body is complete.
+    net::awaitable<bool> has_proven_end();
+
     /// Returns the connection to the pool after the last byte, or closes it.
     void return_connection()
     {
@@ -193,6 +206,18 @@
     co_return error;
 }
 
+net::awaitable<bool> http_stream::state::has_proven_end()
+{
+    if (!connection->has_orderly_end())
+        co_return false;
+    if (connection->request_body_bytes <= max_body_without_delay)
+        co_return true;
+    net::steady_timer timer(connection->stream.get_executor(), max_reset_delay);
+    error_code ignored;
+    co_await timer.async_wait(redirect_error_to(ignored));
+    co_return connection->has_orderly_end();
+}
+
 net::awaitable<http_result<std::string_view>> http_stream::read(auburnweir::state::duration timeout)
 {
     auto& s = *state_;
@@ -207,6 +232,8 @@
         if (s.parser.is_done())
             break;
         error = co_await s.receive(timeout);
+        if (error == net::error::eof && s.parser.need_eof() && !co_await s.has_proven_end())
+            co_return http_error::response_lost;
         if (error == net::error::eof)
             s.parser.put_eof(error);
         if (error)
@@ -317,15 +344,19 @@
     c.timeout.begin(deadline - now());
     co_await http::async_read_header(c.stream, c.buffer, s.parser, redirect_error_to(error));
     bool const timed_out = c.timeout.end();
+    auto const status = static_cast<int>(s.parser.get().result_int());
+    // The parser accepts any three digits.
+    if (error == http::error::bad_status || (!error && !protocol::is_valid_status(status)))
+        co_return http_error::response_lost;
     if (error)
         co_return error_for(timed_out);
     if (is_joined_from_two(s.parser.get()))
         co_return http_error::response_lost;
-    if (s.parser.get().result_int() < first_final_status)
+    if (status < first_final_status)
         co_return response_owner::earlier_call;
     auto owner = response_owner::this_call;
     if (policy.owner_of)
-        owner = policy.owner_of(s.parser.get().result_int(), s.parser.get().base());
+        owner = policy.owner_of(status, s.parser.get().base());
     if (owner == response_owner::unknown)
         co_return http_error::response_lost;
     if (owner != response_owner::earlier_call)
@@ -400,6 +431,7 @@
                     open->close();
             });
     bool const response_has_no_body = message.method() == http::verb::head;
+    c->request_body_bytes = message.body().size();
     ++c->requests;
     if (policy.used_connection)
         *policy.used_connection = {c->local_port(), c->requests};
--- a/src/transport/http_connection.hpp
+++ b/src/transport/http_connection.hpp
@@ -6,6 +6,9 @@
 #include "transport/clock.hpp"
 #include "transport/io_timeout.hpp"
 
+#include <linux/sockios.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace auburnweir::transport
@@ -35,6 +38,28 @@
         return !is_idle;
     }
 
+    /// After an end of file: whether the server closed its side in an orderly way, after all bytes
+    /// of the request had arrived.
+    ///
+    /// The end of file alone does not show that. A reset ends the file too if the writer was told
+    /// of it first, and a server that closes without having read the whole request sends a reset
+    /// only when the next bytes arrive. The state of the socket shows both, also when the error was
+    /// reported already: it is CLOSE_WAIT only after a FIN without a reset.
+    bool has_orderly_end()
+    {
+        if (write_pending)
+            return false;
+        auto const socket = stream.socket().native_handle();
+        int undelivered_bytes = 0;
+        if (::ioctl(socket, SIOCOUTQ, &undelivered_bytes) != 0 || undelivered_bytes != 0)
+            return false;
+        tcp_info info{};
+        socklen_t size = sizeof info;
+        if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+            return false;
+        return info.tcpi_state == TCP_CLOSE_WAIT;
+    }
+
     /// 0 when the connection is closed.
     std::uint16_t local_port()
     {
@@ -61,8 +86,9 @@
     state::endpoint address;
     beast::flat_buffer buffer;
     io_timeout timeout;
-    bool write_pending = false; ///< the request is not completely written
-    int requests = 0;           ///< written on it so far, each at least in part
+    bool write_pending = false; ///< the request is not completely written, or the write failed
+    std::size_t request_body_bytes = 0; ///< of the last request
+    int requests = 0;                   ///< written on it so far, each at least in part
 
     /// A copy of the refusal of an earlier attempt may arrive for a new one.
     coordination::refused_requests refused;
--- a/tests/integration/answers_test.cpp
+++ b/tests/integration/answers_test.cpp
@@ -69,6 +69,21 @@
     EXPECT_EQ(response.run_outcome(), "outcome_unknown") << response.body;
 }
 
+// Guards against a status that is none, taken for an answer of the engine.
+TEST_F(answers_test, chat_with_invalid_status_of_one_engine_is_answered_by_another)
+{
+    deploy();
+    deployment::control(system->engine(0), {{"refuse_status", 999}});
+    for (int i = 0; i < 6; ++i)
+    {
+        auto const response = call(
+            system->entry_port(0), "POST", "/v1/chat/completions",
+            with_bearer_token({{"X-Request-Id", "s" + std::to_string(i)}}),
+            chat_body("hello " + std::to_string(i), answer_tokens, false));
+        EXPECT_EQ(response.status, 200) << response.body;
+    }
+}
+
 // Guards against MIXED: a second copy of a chat's answer, ahead of the connection's next answer.
 TEST_F(answers_test, chat_after_repeated_answer_gets_its_own)
 {
--- a/tests/integration/cloud_client_test.cpp
+++ b/tests/integration/cloud_client_test.cpp
@@ -48,7 +48,8 @@
          {std::pair{200, duty_result::accepted}, std::pair{409, duty_result::unavailable},
           std::pair{429, duty_result::refused}, std::pair{403, duty_result::refused},
           std::pair{503, duty_result::refused}, std::pair{500, duty_result::unknown},
-          std::pair{502, duty_result::unknown}, std::pair{504, duty_result::unknown}})
+          std::pair{502, duty_result::unknown}, std::pair{504, duty_result::unknown},
+          std::pair{600, duty_result::unknown}, std::pair{999, duty_result::unknown}})
     {
         scripted_server server(
             [&](tcp::socket& s)
--- a/tests/integration/http_client_test.cpp
+++ b/tests/integration/http_client_test.cpp
@@ -27,12 +27,12 @@
 
     static constexpr auto call_timeout = 2s;
 
-    call_outcome call(scripted_server& server, call_policy policy = {})
+    call_outcome call(scripted_server& server, call_policy policy = {}, std::string body = {})
     {
         policy.header_timeout = call_timeout;
         call_outcome result;
         state::endpoint const to{"127.0.0.1", server.port()};
-        net::co_spawn(io_, run(to, policy, result), net::detached);
+        net::co_spawn(io_, run(to, policy, std::move(body), result), net::detached);
         io_.restart();
         io_.run_for(5s);
         return result;
@@ -69,10 +69,13 @@
     transport::http_client client_{io_};
 
 private:
-    net::awaitable<void> run(state::endpoint to, call_policy policy, call_outcome& result)
+    net::awaitable<void> run(
+        state::endpoint to, call_policy policy, std::string body, call_outcome& result)
     {
         http_request request;
+        request.method = body.empty() ? "GET" : "POST";
         request.target = "/x";
+        request.body = std::move(body);
         auto opened = co_await client_.open(to, std::move(request), policy);
         if (!opened)
         {
@@ -83,11 +86,11 @@
         transport::body_limits limits;
         limits.size = state::byte_count{1 << 20};
         limits.timeout = call_timeout;
-        auto body = co_await opened.value().read_rest(limits);
-        if (body)
-            result.body = body.value();
+        auto rest = co_await opened.value().read_rest(limits);
+        if (rest)
+            result.body = rest.value();
         else
-            result.error = body.error();
+            result.error = rest.error();
     }
 };
 
@@ -349,6 +352,198 @@
     EXPECT_EQ(server.connections(), 1);
 }
 
+// Guards against a status that is none, passed on or skipped as an interim response.
+TEST_F(http_client_test, response_with_invalid_status_is_lost)
+{
+    for (std::string const status :
+         {"000", "001", "099", "600", "999", "20", "2000", "2OO", "-20", "abc"})
+    {
+        scripted_server server(
+            [&](tcp::socket& s)
+            {
+                scripted_server::read_request_header(s);
+                scripted_server::send(
+                    s, "HTTP/1.1 " + status + " Any\r\nContent-Length: 0\r\n\r\n" +
+                           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                scripted_server::read_request_header(s);
+            });
+        auto const started_at = std::chrono::steady_clock::now();
+        auto const result = call(server);
+        EXPECT_EQ(result.error, http_error::response_lost) << status;
+        EXPECT_EQ(result.status, 0) << status;
+        EXPECT_LT(std::chrono::steady_clock::now() - started_at, call_timeout / 2) << status;
+        client_.idle().close_all(); // The server waits for its end.
+    }
+}
+
+TEST_F(http_client_test, response_with_status_at_end_of_valid_range_is_read)
+{
+    for (int const status : {200, 599})
+    {
+        scripted_server server(
+            [&](tcp::socket& s)
+            {
+                scripted_server::read_request_header(s);
+                scripted_server::send(
+                    s, "HTTP/1.1 199 Any\r\n\r\nHTTP/1.1 " + std::to_string(status) +
+                           " Any\r\nContent-Length: 2\r\n\r\nok");
+            });
+        auto const result = call(server);
+        EXPECT_EQ(result.status, status);
+        EXPECT_EQ(result.body, "ok");
+    }
+}
+
+/// A response without a length to a long upload.
+class http_client_early_response_test : public http_client_test,
+                                        public testing::WithParamInterface<char const*>
+{
+protected:
+    static constexpr int repetitions = 5;
+
+    /// Longer than the send buffer, so that the request is not completely written.
+    static constexpr std::size_t long_upload = 8 << 20;
+
+    /// Fits the send buffer, but not the receive buffer of a server that does not read.
+    static constexpr std::size_t medium_upload = 1 << 20;
+
+    static std::string response(std::string const& body)
+    {
+        return std::string{GetParam()} + " 200 OK\r\nContent-Type: text/plain\r\n\r\n" + body;
+    }
+
+    /// Reads the rest of a request's body. @return its bytes, without what came with the header
+    static std::size_t read_body(tcp::socket& socket, std::size_t at_most)
+    {
+        std::string bytes(at_most, '\0');
+        boost::system::error_code error;
+        return net::read(socket, net::buffer(bytes), error);
+    }
+
+    static void wait_for_end(tcp::socket& socket)
+    {
+        boost::system::error_code error;
+        std::string bytes(1 << 16, '\0');
+        while (!error)
+            socket.read_some(net::buffer(bytes), error);
+    }
+
+    void expect_lost(scripted_server& server, std::size_t upload)
+    {
+        for (int i = 0; i < repetitions; ++i)
+        {
+            auto const result = call(server, {}, std::string(upload, 'u'));
+            EXPECT_EQ(result.error, http_error::response_lost) << upload;
+            EXPECT_EQ(result.body, "") << upload;
+        }
+    }
+};
+
+// Guards against a part of a response taken for a complete one: the writer gets the error of the
+// reset, and the reader an end of file.
+TEST_P(http_client_early_response_test, response_reset_during_upload_is_lost)
+{
+    for (auto const upload : {long_upload, medium_upload})
+        for (auto const delay : {0ms, 5ms, 50ms})
+        {
+            scripted_server server(
+                [delay](tcp::socket& s)
+                {
+                    scripted_server::read_request_header(s);
+                    scripted_server::send(s, response("part"));
+                    std::this_thread::sleep_for(delay);
+                    scripted_server::reset(s);
+                });
+            expect_lost(server, upload);
+        }
+}
+
+// Guards against a part of a response taken for a complete one: an orderly close proves nothing
+// while the request is incomplete.
+TEST_P(http_client_early_response_test, response_closed_during_upload_is_lost)
+{
+    for (auto const upload : {long_upload, medium_upload})
+    {
+        scripted_server server(
+            [](tcp::socket& s)
+            {
+                scripted_server::read_request_header(s);
+                scripted_server::send(s, response("part"));
+                boost::system::error_code ignored;
+                s.shutdown(tcp::socket::shutdown_send, ignored);
+                std::this_thread::sleep_for(100ms);
+            });
+        expect_lost(server, upload);
+    }
+}
+
+// Guards against a part of a response taken for a complete one: the reset comes after the end of
+// file, when the whole request has arrived.
+TEST_P(http_client_early_response_test, response_closed_and_reset_after_upload_is_lost)
+{
+    scripted_server server(
+        [](tcp::socket& s)
+        {
+            scripted_server::read_request_header(s);
+            read_body(s, medium_upload - 4096);
+            std::this_thread::sleep_for(20ms);
+            scripted_server::send(s, response("part"));
+            boost::system::error_code ignored;
+            s.shutdown(tcp::socket::shutdown_send, ignored);
+            scripted_server::reset(s);
+        });
+    expect_lost(server, medium_upload);
+}
+
+// Guards against sound responses that are lost, as their end is not believed.
+TEST_P(http_client_early_response_test, response_closed_after_whole_upload_is_complete)
+{
+    for (auto const upload : {long_upload, medium_upload, std::size_t{100}})
+    {
+        scripted_server server(
+            [upload](tcp::socket& s)
+            {
+                std::string request;
+                boost::system::error_code error;
+                auto const header =
+                    net::read_until(s, net::dynamic_buffer(request), "\r\n\r\n", error);
+                read_body(s, header + upload - request.size());
+                scripted_server::send(s, response("all of it"));
+            });
+        for (int i = 0; i < repetitions; ++i)
+        {
+            auto const result = call(server, {}, std::string(upload, 'u'));
+            EXPECT_FALSE(result.error) << upload;
+            EXPECT_EQ(result.body, "all of it") << upload;
+        }
+    }
+}
+
+// Guards against orderly refusals of long uploads that do not reach the caller.
+TEST_P(http_client_early_response_test, response_with_length_during_upload_is_complete)
+{
+    scripted_server server(
+        [](tcp::socket& s)
+        {
+            scripted_server::read_request_header(s);
+            scripted_server::send(
+                s, std::string{GetParam()} + " 413 Long\r\nConnection: close\r\n"
+                                             "Content-Length: 4\r\n\r\nlong");
+            wait_for_end(s);
+        });
+    for (int i = 0; i < repetitions; ++i)
+    {
+        auto const result = call(server, {}, std::string(long_upload, 'u'));
+        EXPECT_EQ(result.status, 413);
+        EXPECT_EQ(result.body, "long");
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    versions, http_client_early_response_test, testing::Values("HTTP/1.0", "HTTP/1.1"),
+    [](auto const& info)
+    { return std::string{info.param}.back() == '0' ? "http_1_0" : "http_1_1"; });
+
 TEST_F(http_client_test, call_with_refused_connection_is_connect_failure)
 {
     state::endpoint to{"127.0.0.1", 1};
--- a/tests/integration/operations_test.cpp
+++ b/tests/integration/operations_test.cpp
@@ -236,6 +236,19 @@
     EXPECT_EQ(system->run_count("k"), 1);
 }
 
+// Guards against a status that is none, stored as the answer and passed on.
+TEST_F(operations_test, operation_with_invalid_status_is_outcome_unknown)
+{
+    deploy();
+    for (int const status : {600, 999})
+    {
+        set_service_faults({{"refuse_status", status}});
+        auto const response = book(0, "k" + std::to_string(status));
+        EXPECT_LT(response.status, 600);
+        EXPECT_EQ(response.run_outcome(), "outcome_unknown") << status;
+    }
+}
+
 TEST_F(operations_test, operation_not_run_by_service_leaves_key_free)
 {
     deploy();
--- a/tests/integration/store_client_test.cpp
+++ b/tests/integration/store_client_test.cpp
@@ -74,7 +74,8 @@
     for (auto const& [status, error] :
          {std::pair{503, store_error::refused}, std::pair{429, store_error::refused},
           std::pair{403, store_error::refused}, std::pair{500, store_error::unreachable},
-          std::pair{502, store_error::unreachable}, std::pair{504, store_error::unreachable}})
+          std::pair{502, store_error::unreachable}, std::pair{504, store_error::unreachable},
+          std::pair{600, store_error::unreachable}, std::pair{999, store_error::unreachable}})
     {
         scripted_server server(
             [&](tcp::socket& s)
--- a/tests/unit/status_line_test.cpp
+++ b/tests/unit/status_line_test.cpp
@@ -25,5 +25,13 @@
         EXPECT_FALSE(contains_status_line(text)) << text;
 }
 
+TEST_F(status_line_test, statuses_from_100_to_599_are_valid)
+{
+    for (int const status : {100, 199, 200, 503, 599})
+        EXPECT_TRUE(is_valid_status(status)) << status;
+    for (int const status : {0, 1, 99, 600, 999})
+        EXPECT_FALSE(is_valid_status(status)) << status;
+}
+
 } // namespace
 } // namespace auburnweir::protocol
