--- a/tests/integration/gateway_rating_test.cpp
+++ b/tests/integration/gateway_rating_test.cpp
@@ -24,6 +24,17 @@
         return result;
     }
 
+    /// Lets the routes carry prompts: only services that get prompts are rated.
+    static void configure_prompts(gateway_deployment& system)
+    {
+        system.configure(
+            [](json& configuration)
+            {
+                for (auto& route : configuration.at("routes"))
+                    route["sticky"] = true;
+            });
+    }
+
     /// Streams answers through the first gateway until the gauge of a gateway has the value.
     /// @return whether it has within `max_wait`
     static bool stream_until(
@@ -44,6 +55,7 @@
 TEST_F(gateway_rating_test, servers_that_one_gateway_uses_are_rated_at_all_gateways)
 {
     gateway_deployment system{plan("uneven")};
+    configure_prompts(system);
     EXPECT_TRUE(stream_until(system, 0, "auburnweir_rated_servers", 2));
     EXPECT_TRUE(stream_until(system, 1, "auburnweir_rated_servers", 2));
     EXPECT_EQ(system.counter(0, "auburnweir_server_observations_dropped"), 0);
@@ -53,6 +65,7 @@
 TEST_F(gateway_rating_test, servers_are_not_rated_where_placement_is_even)
 {
     gateway_deployment system{plan("even")};
+    configure_prompts(system);
     for (int i = 0; i < 20; ++i)
         system.send_request("/stream/x", "m" + std::to_string(i));
     std::this_thread::sleep_for(2s);
