--- a/src/coordination/weighted_choice.cpp
+++ b/src/coordination/weighted_choice.cpp
@@ -254,7 +254,8 @@
     {
         auto const known = std::find_if(
             domains.begin(), domains.end(), [&](auto const& d) { return d.domain == c.domain; });
-        auto& d = known == domains.end() ? domains.emplace_back(c.domain, 0) : *known;
+        auto& d =
+            known == domains.end() ? domains.emplace_back(domain_capacity{c.domain, 0}) : *known;
         d.slots += c.slots * c.weight;
     }
     std::vector<double> capacities;
