--- a/src/coordination/weighted_choice.cpp
+++ b/src/coordination/weighted_choice.cpp
@@ -259,6 +259,7 @@
         d.slots += c.slots * c.weight;
     }
     std::vector<double> capacities;
+    capacities.reserve(domains.size());
     for (auto const& d : domains)
         capacities.push_back(d.slots);
     return own_domain_share(capacities, capacities.front());
