--- a/review/8/case.py
+++ b/review/8/case.py
@@ -15,6 +15,7 @@
 LEASE_S = standins.BOUNDS["leaseMs"] / 1000
 BOOT_S = 4.0
 KILL_AFTER_S = 0.45   # from A's SIGTERM to its kill
+STOP_GAP_S = 1.0      # from A's SIGTERM to B's, at least
 LAST_ROUND_S = 80
 
 
@@ -130,6 +131,7 @@
             a = next(g for g in gateways if g.name == order["holder"])
             b = next(g for g in gateways if g is not a)
             a.send_signal(signal.SIGTERM)
+            stopped_at = time.monotonic()
             time.sleep(KILL_AFTER_S)
             a.send_signal(signal.SIGKILL)
             a.wait(5)
@@ -137,6 +139,7 @@
             acted = next_order(before, 1.0, holder=b.name)
             a.start()
             if acted or next_order(before, 6, holder=b.name):
+                time.sleep(max(0, stopped_at + STOP_GAP_S - time.monotonic()))
                 b.send_signal(signal.SIGTERM)
                 if b.wait(standins.BOUNDS["graceS"] + 1) is None:
                     b.send_signal(signal.SIGKILL)
