--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -273,6 +273,12 @@
 LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 5000, "idleTimeoutMs": 15000}
 
 
+def engine_entry(service, port, zone):
+    """What a started engine writes into the store."""
+    return {"service": service, "address": "127.0.0.1:%d" % port, "zone": zone, "version": "1", "slots": 64,
+            "state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": int(time.time() * 1000)}
+
+
 class Engine:
     """An engine that lists itself in the store. `serve(engine, connection, head, headers, body)`
     answers one request and returns whether the channel stays open."""
@@ -286,10 +292,7 @@
         self._listener = socket.socket()
         self._listener.bind(("127.0.0.1", 0))
         self._listener.listen(128)
-        platform.put("servers", id, {
-            "service": service, "address": "127.0.0.1:%d" % self._listener.getsockname()[1], "zone": zone,
-            "version": "1", "slots": 64, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
-            "born": int(time.time() * 1000)})
+        platform.put("servers", id, engine_entry(service, self._listener.getsockname()[1], zone))
         threading.Thread(target=self._accept, daemon=True).start()
 
     def next_answer(self):
