Treat a stream that ends inside an event as broken off, however its body ends

A server stops inside an event and ends the body with the last chunk. The caller got a 200 with a complete body of which seven events were missing; a resumable stream was not resumed at the sound server.

Cause: response_relay::relay_events asked whether a stream was inside an event only if its body ended with the connection. For a length or chunks it sent the part of the event as a remainder and then the last chunk. The connection went back to the pool, where the rest of the stream could have followed.

Change: coordination::classify_stream_end decides for all framings, without I/O: inside an event or a line, or before the first event of a run that is not a resumed one, the stream is truncated. It resumes elsewhere after its last whole event, or the caller's connection closes without the last chunk. A truncated stream counts as a failure of the server, not as evidence of a crash. event_splitter, now in the protocol layer where encodings belong, knows lines that end with LF, CRLF or CR; before, a stream with CRLF or CR was held back until its end. A connection is kept only after a complete stream. Two counters, the retry reason stream_truncated and the field `body` of AW4003 tell why.

--- a/src/coordination/attempt_policy.cpp
+++ b/src/coordination/attempt_policy.cpp
@@ -84,6 +84,13 @@
                                       : refusal_reason::backend_failed,
                     give_up_cause(progress, limits, budget_left)};
             },
+            [&](attempt_truncated const&) -> attempt_decision
+            {
+                if (can_retry && may_execute_again(progress))
+                    return retry_elsewhere{retry_reason::stream_truncated};
+                return reply_outcome_unknown{
+                    refusal_reason::backend_failed, give_up_cause(progress, limits, budget_left)};
+            },
             [&](attempt_unbuffered const&) -> attempt_decision
             {
                 if (can_retry && may_execute_again(progress))
--- a/src/coordination/attempt_policy.hpp
+++ b/src/coordination/attempt_policy.hpp
@@ -29,13 +29,18 @@
     bool timed_out = false;
 };
 
+/// The server marked the end of its response too early: the request has been executed.
+struct attempt_truncated
+{
+};
+
 /// The memory budget had no room for the response: the request may have been executed.
 struct attempt_unbuffered
 {
 };
 
-using failed_attempt_kind =
-    std::variant<attempt_failed, attempt_not_run, attempt_lost, attempt_unbuffered>;
+using failed_attempt_kind = std::variant<
+    attempt_failed, attempt_not_run, attempt_lost, attempt_truncated, attempt_unbuffered>;
 
 /// State of a request's attempts.
 struct attempt_progress
--- /dev/null
+++ b/src/coordination/stream_end.hpp
@@ -0,0 +1,53 @@
+#ifndef AUBURNWEIR_COORDINATION_STREAM_END_HPP
+#define AUBURNWEIR_COORDINATION_STREAM_END_HPP
+
+#include <cstdint>
+#include <variant>
+
+namespace auburnweir::coordination
+{
+
+/// What marks the end of a response's body.
+enum class body_framing : std::uint8_t
+{
+    delimited, ///< a length or a last chunk
+    connection ///< the end of the connection
+};
+
+/// What is known of a server's stream when its body has ended.
+struct stream_end
+{
+    body_framing framing = body_framing::delimited;
+    bool is_event_stream = true; ///< not declared as content of another type
+    bool is_resumed = false;     ///< the request asked for the events after one that it has
+    bool has_events = false;     ///< at least one event is complete
+    bool is_inside_event = false;
+};
+
+/// The server has sent its last event.
+struct stream_completed
+{
+};
+
+/// The server marked the end of the body before that of the stream, and still runs as far as the
+/// response shows.
+struct stream_truncated
+{
+};
+
+/// The connection ended before the stream: the server may have ended as well.
+struct stream_disconnected
+{
+};
+
+using stream_end_kind = std::variant<stream_completed, stream_truncated, stream_disconnected>;
+
+/// Decides whether a stream whose body has ended is complete.
+///
+/// The end of a body proves nothing alone: a faulty server may mark it inside an event, or before
+/// the first. A run that begins to answer sends an event, but a resumed one may have none left.
+stream_end_kind classify_stream_end(stream_end const& end);
+
+} // namespace auburnweir::coordination
+
+#endif
--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -47,9 +47,16 @@
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(retry_reason::count_)>
     retry_reason_names{
-        "connect_failed",     "backend_overloaded",       "backend_error",
-        "stream_cut",         "stream_stalled",           "backend_leaving",
-        "not_run_by_backend", "other_backend_at_address", "response_memory_exhausted",
+        "connect_failed",
+        "backend_overloaded",
+        "backend_error",
+        "stream_cut",
+        "stream_truncated",
+        "stream_stalled",
+        "backend_leaving",
+        "not_run_by_backend",
+        "other_backend_at_address",
+        "response_memory_exhausted",
     };
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(give_up_reason::count_)>
@@ -87,6 +94,8 @@
         "late_answers_dropped",
         "unnamed_answers_dropped",
         "events_too_long",
+        "streams_ended_inside_event",
+        "streams_ended_without_event",
         "usage_reports_sent",
         "fleet_orders_sent",
         "store_calls",
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -54,6 +54,7 @@
     backend_overloaded,
     backend_error,
     stream_cut,
+    stream_truncated,
     stream_stalled,
     backend_leaving,
     not_run_by_backend,
@@ -100,9 +101,11 @@
     prefix_hits,
     requests_forwarded,
     streams_resumed,
-    late_answers_dropped,    ///< responses that name another request
-    unnamed_answers_dropped, ///< responses that name no request and may be an earlier one's
-    events_too_long,         ///< of streams, which end the attempt
+    late_answers_dropped,        ///< responses that name another request
+    unnamed_answers_dropped,     ///< responses that name no request and may be an earlier one's
+    events_too_long,             ///< of streams, which end the attempt
+    streams_ended_inside_event,  ///< the body ended there, so the stream is broken off
+    streams_ended_without_event, ///< the same before the first event
     usage_reports_sent,
     fleet_orders_sent,
     store_calls,
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -125,7 +125,7 @@
     progress_.retry = route_->retry;
     progress_.max_possibly_executed = route_->max_attempts;
     resume_after_ = forwarded_.resume_after;
-    relayed_request relayed{arrived_at_, deadline_, {}, {}, {}, cancel_};
+    relayed_request relayed{arrived_at_, deadline_, {}, {}, {}, cancel_, !resume_after_.empty()};
     relayed.on_answering = [this] { recorder_.record_answer(forwarded_); };
     relayed.on_intervals = [this](state::event_intervals const& intervals)
     { recorder_.record_intervals(streaming_server_, intervals); };
@@ -347,6 +347,7 @@
     }
     else
         result = co_await relay_->relay_buffered(response);
+    trace_.body = name_of(result);
     progress_.response_begun = relay_->has_started();
     if (!relay_->last_event_id().empty())
         resume_after_ = relay_->last_event_id();
@@ -371,6 +372,9 @@
     case relay_result::malformed:
         co_await handle_failed_attempt(server, attempt_lost{false});
         break;
+    case relay_result::truncated:
+        co_await handle_failed_attempt(server, coordination::attempt_truncated{});
+        break;
     case relay_result::out_of_memory:
         co_await handle_failed_attempt(server, coordination::attempt_unbuffered{});
         break;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -239,10 +239,14 @@
         if (error)
             co_return error_for(error == beast::error::timeout);
     }
-    s.return_connection();
     co_return std::string_view{};
 }
 
+void http_stream::keep_connection()
+{
+    state_->return_connection();
+}
+
 net::awaitable<http_result<std::string>> http_stream::read_rest(body_limits limits)
 {
     auto const deadline = now() + limits.timeout;
@@ -256,7 +260,10 @@
         if (!chunk)
             co_return chunk.error();
         if (chunk.value().empty())
+        {
+            keep_connection();
             co_return body;
+        }
         auto const size = body.size() + chunk.value().size();
         if (size > static_cast<std::size_t>(limits.size.count()))
             co_return http_error::too_large;
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -140,8 +140,8 @@
     state::memory_reservation* memory = nullptr;
 };
 
-/// A response whose body is read while it arrives. Destruction closes the connection unless the
-/// response was read to its end; the backend server treats that as a cancelled request.
+/// A response whose body is read while it arrives. Destruction closes the connection unless it is
+/// kept; before the body's end, the backend server treats that as a cancelled request.
 class http_stream
 {
 public:
@@ -162,7 +162,11 @@
     /// Reads the next bytes; empty at the end. They are valid until the next call.
     net::awaitable<http_result<std::string_view>> read(auburnweir::state::duration timeout);
 
-    /// Reads the rest of the body into memory.
+    /// Lets later calls use the connection; after the last byte only. A server whose body ended too
+    /// early may still send the rest of it, so its connection is not kept.
+    void keep_connection();
+
+    /// Reads the rest of the body into memory, and keeps the connection after its end.
     net::awaitable<http_result<std::string>> read_rest(body_limits limits);
 
     /// Records that the response states that the request was not run. Another attempt of the
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -166,7 +166,8 @@
          "four shared segments of the prompt, `answering_ms` how long the stream had sent events "
          "(empty: none yet), `connection` the local port (0: none), `connection_request` the "
          "number of requests on it so far, `status` that of the response (0: none), `named` "
-         "whether it names `this` request, an `other` one or `none`"},
+         "whether it names `this` request, an `other` one or `none`, `body` how its body ended "
+         "(empty: before it began)"},
         {e::caller_left, l::info, "caller_left",
          "a caller closed its connection; its request was cancelled"},
         {e::answer_broken_off, l::warning, "answer_broken_off",
--- a/src/transport/request_log.cpp
+++ b/src/transport/request_log.cpp
@@ -95,6 +95,7 @@
          {"connection_request", std::to_string(attempt.trace.connection.requests)},
          {"status", std::to_string(attempt.trace.status)},
          {"named", named_text(attempt.trace)},
+         {"body", std::string{attempt.trace.body}},
          {"segments", shared_segments_text(request.request)},
          {"answering_ms", began_at ? milliseconds_text(now() - *began_at) : ""},
          {"after_ms", after_text(request)},
--- a/src/transport/request_log.hpp
+++ b/src/transport/request_log.hpp
@@ -37,6 +37,7 @@
     call_connection connection;
     int status = 0;                                   ///< 0: no response
     std::optional<coordination::response_name> named; ///< null: no response
+    std::string_view body; ///< how the relay of the response's body ended; empty: none was relayed
 };
 
 /// A failed attempt and the step after it.
--- a/src/transport/response_relay.cpp
+++ b/src/transport/response_relay.cpp
@@ -1,6 +1,9 @@
 #include "transport/response_relay.hpp"
 
-#include "transport/event_splitter.hpp"
+#include "coordination/stream_end.hpp"
+#include "protocol/event_splitter.hpp"
+#include "state/overloaded.hpp"
+#include "transport/response_status.hpp"
 
 namespace auburnweir::transport
 {
@@ -41,8 +44,36 @@
     return relay_result::interrupted;
 }
 
+coordination::body_framing framing_of(http_stream const& response)
+{
+    return response.ends_with_connection() ? coordination::body_framing::connection
+                                           : coordination::body_framing::delimited;
+}
+
 } // namespace
 
+std::string_view name_of(relay_result result)
+{
+    switch (result)
+    {
+    case relay_result::complete:
+        return "complete";
+    case relay_result::interrupted:
+        return "interrupted";
+    case relay_result::truncated:
+        return "truncated";
+    case relay_result::malformed:
+        return "malformed";
+    case relay_result::out_of_memory:
+        return "out_of_memory";
+    case relay_result::timed_out:
+        return "timed_out";
+    case relay_result::caller_left:
+        break;
+    }
+    return "caller_left";
+}
+
 state::server_outcome outcome_of(relay_result result)
 {
     switch (result)
@@ -50,6 +81,7 @@
     case relay_result::complete:
         return state::server_outcome::answered;
     case relay_result::interrupted:
+    case relay_result::truncated:
     case relay_result::malformed:
         return state::server_outcome::failed;
     case relay_result::timed_out:
@@ -147,9 +179,30 @@
     co_return result;
 }
 
+relay_result response_relay::result_of_end(http_stream const& response, bool is_inside_event)
+{
+    coordination::stream_end end;
+    end.framing = framing_of(response);
+    end.is_event_stream = may_be_event_stream(response);
+    end.is_resumed = request_.is_resumed || !last_event_id_.empty();
+    end.has_events = first_event_at_.has_value();
+    end.is_inside_event = is_inside_event;
+    auto const result = std::visit(
+        state::overloaded{
+            [](coordination::stream_completed const&) { return relay_result::complete; },
+            [](coordination::stream_truncated const&) { return relay_result::truncated; },
+            [](coordination::stream_disconnected const&) { return relay_result::interrupted; }},
+        coordination::classify_stream_end(end));
+    if (result != relay_result::complete)
+        context_.tables.counters.increment(
+            is_inside_event ? state::event_counter::streams_ended_inside_event
+                            : state::event_counter::streams_ended_without_event);
+    return result;
+}
+
 net::awaitable<relay_result> response_relay::relay_events(http_stream& response)
 {
-    event_splitter events;
+    protocol::event_splitter events;
     state::memory_reservation memory(context_.tables.buffer_memory);
     auto silent_since = now();
     bool delayed_by_caller = false;
@@ -196,11 +249,14 @@
                 intervals_.skip_next();
             record_events(events.last_content_events());
         }
-        bool const broken_off = events.is_inside_event() || !first_event_at_;
-        if (ended && response.ends_with_connection() && broken_off)
-            co_return relay_result::interrupted;
         if (ended)
+        {
+            auto const result = result_of_end(response, events.is_inside_event());
+            if (result != relay_result::complete)
+                co_return result;
+            response.keep_connection();
             ready += events.take_remainder();
+        }
         if (!events.last_id().empty())
             last_event_id_ = events.last_id();
         bool const starts = !started_ && (!ready.empty() || ended);
--- a/src/transport/response_relay.hpp
+++ b/src/transport/response_relay.hpp
@@ -12,13 +12,16 @@
 enum class relay_result : std::uint8_t
 {
     complete,      ///< the caller received the whole response
-    interrupted,   ///< the server's response ended early or was silent for too long
+    interrupted,   ///< the connection to the server ended early or was silent for too long
+    truncated,     ///< the server marked the end of its response before the end of the stream
     malformed,     ///< the server's response has a part that is longer than allowed
     out_of_memory, ///< there is no memory left to buffer the server's response
     timed_out,     ///< the request's deadline passed
     caller_left
 };
 
+std::string_view name_of(relay_result result);
+
 /// How an attempt with this result ended, for the server's health.
 state::server_outcome outcome_of(relay_result result);
 
@@ -34,6 +37,7 @@
     /// Told of the times between a stream's events, while it runs and at its end.
     std::function<void(state::event_intervals const&)> on_intervals;
     std::shared_ptr<call_cancellation> cancel;
+    bool is_resumed = false; ///< the caller asks for the events after one that it has
 };
 
 /// Relays responses of backend servers to a caller. A stream that resumes at another server keeps
@@ -73,6 +77,8 @@
     caller_response response_header(http_stream const& response) const;
     state::duration time_left() const;
     net::awaitable<relay_result> relay_events(http_stream& response);
+    /// How a stream ended whose body has ended.
+    relay_result result_of_end(http_stream const& response, bool is_inside_event);
     net::awaitable<bool> begin(http_stream const& response);
     void record_events(std::size_t count);
     void report_intervals(std::optional<state::event_intervals> const& portion);
--- a/src/transport/response_status.hpp
+++ b/src/transport/response_status.hpp
@@ -6,6 +6,8 @@
 namespace auburnweir::transport
 {
 
+inline constexpr beast::string_view event_stream_type = "text/event-stream";
+
 inline constexpr int status_ok = 200;
 inline constexpr int status_request_timeout = 408;
 inline constexpr int status_misdirected = 421;
@@ -26,11 +28,19 @@
            status == status_request_timeout || status == status_misdirected;
 }
 
+/// Whether a response's content is an event stream, or not declared.
+inline bool may_be_event_stream(http_stream const& response)
+{
+    auto const type = response.headers()[http::field::content_type];
+    return type.empty() ||
+           beast::iequals(type.substr(0, event_stream_type.size()), event_stream_type);
+}
+
 /// Whether a response can go on with a stream of which the caller has a part.
 inline bool continues_stream(http_stream const& response)
 {
     auto const type = response.headers()[http::field::content_type];
-    return response.status() == status_ok && type.starts_with("text/event-stream");
+    return response.status() == status_ok && type.starts_with(event_stream_type);
 }
 
 } // namespace auburnweir::transport
--- a/tests/unit/event_splitter_test.cpp
+++ b/tests/unit/event_splitter_test.cpp
@@ -1,9 +1,9 @@
-#include "transport/event_splitter.hpp"
+#include "protocol/event_splitter.hpp"
 
 #include <chrono>
 #include <gtest/gtest.h>
 
-namespace auburnweir::transport
+namespace auburnweir::protocol
 {
 namespace
 {
@@ -47,6 +47,43 @@
     EXPECT_EQ(splitter.last_content_events(), 0U);
 }
 
+TEST_F(event_splitter_test, feed_of_events_with_crlf_completes_them_unchanged)
+{
+    EXPECT_TRUE(splitter.feed("id: 1\r\ndata: x\r\n\r\nid: 2\r\ndata"));
+    EXPECT_EQ(splitter.take_complete_events(), "id: 1\r\ndata: x\r\n\r\n");
+    EXPECT_EQ(splitter.last_id(), "1");
+    EXPECT_EQ(splitter.last_content_events(), 1U);
+    EXPECT_TRUE(splitter.is_inside_event());
+}
+
+TEST_F(event_splitter_test, feed_of_events_with_cr_completes_them_at_their_last_byte)
+{
+    EXPECT_TRUE(splitter.feed("id: 1\rdata: x\r\r"));
+    EXPECT_EQ(splitter.take_complete_events(), "id: 1\rdata: x\r\r");
+    EXPECT_FALSE(splitter.is_inside_event());
+    EXPECT_TRUE(splitter.feed("\nid: 2\r\r"));
+    EXPECT_EQ(splitter.take_complete_events(), "\nid: 2\r\r");
+    EXPECT_EQ(splitter.last_id(), "2");
+}
+
+// Guards against ORDER: an event that stops within its line end taken for a whole one.
+TEST_F(event_splitter_test, stream_that_stops_within_a_crlf_is_inside_an_event)
+{
+    EXPECT_TRUE(splitter.feed("data: x\r\n\r"));
+    EXPECT_TRUE(splitter.is_inside_event());
+    EXPECT_TRUE(splitter.feed("\n"));
+    EXPECT_FALSE(splitter.is_inside_event());
+    EXPECT_EQ(splitter.take_complete_events(), "data: x\r\n\r\n");
+}
+
+TEST_F(event_splitter_test, stream_that_stops_after_whole_comments_is_not_inside_an_event)
+{
+    EXPECT_TRUE(splitter.feed("data: x\n\n: bye\n"));
+    EXPECT_FALSE(splitter.is_inside_event());
+    EXPECT_TRUE(splitter.feed(": b"));
+    EXPECT_TRUE(splitter.is_inside_event());
+}
+
 TEST_F(event_splitter_test, feed_of_comment_has_no_content)
 {
     EXPECT_TRUE(splitter.feed(": still here\n\n"));
@@ -73,4 +110,4 @@
 }
 
 } // namespace
-} // namespace auburnweir::transport
+} // namespace auburnweir::protocol
--- /dev/null
+++ b/tests/unit/stream_end_test.cpp
@@ -0,0 +1,76 @@
+#include "coordination/stream_end.hpp"
+
+#include <gtest/gtest.h>
+
+namespace auburnweir::coordination
+{
+namespace
+{
+
+/// The end of a stream that sent events in chunks or with a length.
+class stream_end_test : public testing::Test
+{
+protected:
+    template <class Kind>
+    bool is() const
+    {
+        return std::holds_alternative<Kind>(classify_stream_end(end));
+    }
+
+    stream_end end = []
+    {
+        stream_end e;
+        e.has_events = true;
+        return e;
+    }();
+};
+
+TEST_F(stream_end_test, delimited_body_that_ends_after_an_event_is_complete)
+{
+    EXPECT_TRUE(is<stream_completed>());
+}
+
+// Guards against ORDER: the last chunk after a part of an event taken for the end of the stream.
+TEST_F(stream_end_test, delimited_body_that_ends_inside_an_event_is_truncated)
+{
+    end.is_inside_event = true;
+    for (bool const resumed : {false, true})
+        for (bool const has_events : {false, true})
+        {
+            end.is_resumed = resumed;
+            end.has_events = has_events;
+            EXPECT_TRUE(is<stream_truncated>()) << resumed << has_events;
+        }
+}
+
+TEST_F(stream_end_test, delimited_body_without_events_is_truncated_unless_it_is_resumed)
+{
+    end.has_events = false;
+    EXPECT_TRUE(is<stream_truncated>());
+    end.is_resumed = true;
+    EXPECT_TRUE(is<stream_completed>());
+}
+
+TEST_F(stream_end_test, delimited_body_of_another_type_is_complete)
+{
+    end.is_event_stream = false;
+    end.is_inside_event = true;
+    end.has_events = false;
+    EXPECT_TRUE(is<stream_completed>());
+}
+
+TEST_F(stream_end_test, connection_that_ends_early_is_a_disconnection)
+{
+    end.framing = body_framing::connection;
+    EXPECT_TRUE(is<stream_completed>());
+    end.is_inside_event = true;
+    EXPECT_TRUE(is<stream_disconnected>());
+    end.is_inside_event = false;
+    end.has_events = false;
+    EXPECT_TRUE(is<stream_disconnected>());
+    end.is_resumed = true; // A server that ends before its first event looks the same.
+    EXPECT_TRUE(is<stream_disconnected>());
+}
+
+} // namespace
+} // namespace auburnweir::coordination
