Keep a holder of the duties from returning within the lease bound

Orders for one service and zone came from A, B and A again, 1.7 to 2.5 s from the first to the last, with leaseMs 3000: A was stopped and killed, B took the released lease and was stopped, and A's new process took it from B.

Cause: the length of the lease alone kept a holder from returning too early. A release ends a lease before its length, and after two in a row nothing, neither the row nor a process, knew when A's last call was made.

Change: the row names the holders that made calls lately, each with an upper bound of their arrival. coordination::lease_turns bars an instance from the lease of another holder until its own last call is lease_bound_ms old, and says what the next row tells. Calls of a killed process of the same machine count; after a restore and after rows of an earlier version, which lack the history, all others are barred for the bound. An instance that has made no call lately takes a released lease at once, as before. Earlier versions read the new row and ignore the history. AW5006 lease_barred and duty_claims_barred tell why a duty waits.

--- a/src/coordination/lease_claim.cpp
+++ b/src/coordination/lease_claim.cpp
@@ -1,5 +1,7 @@
 #include "coordination/lease_claim.hpp"
 
+#include "coordination/lease_turns.hpp"
+
 #include <algorithm>
 
 namespace auburnweir::coordination
@@ -19,8 +21,8 @@
     lease_reading const& reading, state::instance_id const& self, state::wall_time now,
     lease_settings const& settings)
 {
-    auto const length = std::chrono::duration_cast<std::chrono::milliseconds>(settings.length);
-    return {self, fencing_number_at(reading.read_at), now + length};
+    auto const until = now + std::chrono::duration_cast<std::chrono::milliseconds>(settings.length);
+    return {self, fencing_number_at(reading.read_at), until, history_after_gap(now, until)};
 }
 
 } // namespace
@@ -46,6 +48,8 @@
     if (!is_copy)
     {
         auto lease = lease_to_write(row, self, now, settings);
+        if (!lease && !may_be_held(*row, now, settings))
+            return claim_barred{barred_until(*row, self, settings).value_or(now)};
         if (!lease)
             return no_claim{};
         bool const is_renewal = row && lease->fencing == row->fencing;
@@ -58,9 +62,14 @@
     bool const is_in_force = last_held && now < last_held->until;
     // Orders under the number of the earlier era have arrived by then.
     if (is_in_force && reading.era_age > settings.delivery_bound)
-        return claim_of_last_holder{acquired(reading, self, now, settings)};
+    {
+        auto lease = acquired(reading, self, now, settings);
+        lease.history = next_history(*last_held, self, now, lease.until, settings);
+        return claim_of_last_holder{std::move(lease)};
+    }
     // A lease that the copy lacks was written before this era began.
-    if (reading.era_age > settings.length + settings.clock_bound)
+    auto const longest_effect = std::max(settings.length, settings.return_interval);
+    if (reading.era_age > longest_effect + settings.clock_bound)
         return claim_of_copy{acquired(reading, self, now, settings)};
     return no_claim{};
 }
--- a/src/coordination/lease_claim.hpp
+++ b/src/coordination/lease_claim.hpp
@@ -52,7 +52,14 @@
 {
 };
 
-using lease_claim = std::variant<claim_of_row, claim_of_last_holder, claim_of_copy, no_claim>;
+/// The lease is free, but this instance acted shortly before its last holder.
+struct claim_barred
+{
+    state::wall_time until;
+};
+
+using lease_claim =
+    std::variant<claim_of_row, claim_of_last_holder, claim_of_copy, no_claim, claim_barred>;
 
 /// Decides whether an instance may write a lease's row, and whose knowledge continues.
 ///
--- a/src/coordination/order_lease.cpp
+++ b/src/coordination/order_lease.cpp
@@ -1,5 +1,7 @@
 #include "coordination/order_lease.hpp"
 
+#include "coordination/lease_turns.hpp"
+
 namespace auburnweir::coordination
 {
 
@@ -19,14 +21,23 @@
 {
     auto const until = now + to_milliseconds(settings.length);
     if (!current)
-        return state::lease_record{self, state::fencing_number{1}, until};
+        return state::lease_record{
+            self, state::fencing_number{1}, until, state::lease_history{until, {}, std::nullopt}};
+    auto history = next_history(*current, self, now, until, settings);
     bool const is_holder = current->holder == self && now < current->until;
     if (is_holder)
-        return state::lease_record{self, current->fencing, until};
-    bool const has_expired = now > current->until + to_milliseconds(settings.clock_bound);
-    if (!has_expired)
+        return state::lease_record{self, current->fencing, until, std::move(history)};
+    auto const barred = barred_until(*current, self, settings);
+    if (may_be_held(*current, now, settings) || (barred && now <= *barred))
         return std::nullopt;
-    return state::lease_record{self, current->fencing + state::fencing_number{1}, until};
+    auto const fencing = current->fencing + state::fencing_number{1};
+    return state::lease_record{self, fencing, until, std::move(history)};
+}
+
+bool may_be_held(
+    state::lease_record const& lease, state::wall_time now, lease_settings const& settings)
+{
+    return now <= lease.until + to_milliseconds(settings.clock_bound);
 }
 
 bool may_send_order(
--- a/src/protocol/duty_record_codec.cpp
+++ b/src/protocol/duty_record_codec.cpp
@@ -1,5 +1,6 @@
 #include "protocol/duty_record_codec.hpp"
 
+#include "coordination/lease_turns.hpp"
 #include "protocol/cbor.hpp"
 #include "protocol/element_reader.hpp"
 #include "protocol/option_table.hpp"
@@ -12,6 +13,10 @@
 
 using nlohmann::json;
 
+/// The lease's history follows these elements of the array of the usage, where earlier versions
+/// ignore it.
+constexpr std::size_t usage_elements = 2;
+
 json encode_counts(state::usage_counts const& counts)
 {
     auto out = json::array();
@@ -107,6 +112,51 @@
     return counts;
 }
 
+/// Null is encoded as an empty array.
+json encode_time(std::optional<state::wall_time> const& time)
+{
+    auto out = json::array();
+    if (time)
+        out.push_back(time->time_since_epoch().count());
+    return out;
+}
+
+std::optional<state::wall_time> read_time(json const& from)
+{
+    element_reader in(from);
+    if (in.at_end())
+        return std::nullopt;
+    return state::wall_time{std::chrono::milliseconds{in.integer()}};
+}
+
+json encode_history(state::lease_history const& history)
+{
+    auto earlier = json::array();
+    for (auto const& holder : history.earlier)
+        earlier.push_back({holder.id.str(), holder.acted_until.time_since_epoch().count()});
+    return json::array(
+        {encode_time(history.acted_until), std::move(earlier),
+         encode_time(history.others_acted_until)});
+}
+
+state::lease_history read_history(json const& from)
+{
+    element_reader in(from);
+    state::lease_history history;
+    history.acted_until = read_time(in.array());
+    auto const& earlier = in.array();
+    require(earlier.size() <= coordination::max_earlier_holders, "too many earlier holders");
+    for (auto const& e : earlier)
+    {
+        element_reader holder(e);
+        state::instance_id id{holder.text()};
+        history.earlier.push_back(
+            {std::move(id), state::wall_time{std::chrono::milliseconds{holder.integer()}}});
+    }
+    history.others_acted_until = read_time(in.array());
+    return history;
+}
+
 coordination::duty_record read_record(json const& from)
 {
     element_reader in(from);
@@ -118,7 +168,10 @@
     require(address.has_value(), "holder has no address");
     record.holder_address = *address;
     record.reported_through = state::window_number{in.integer()};
-    record.usage = read_usage(in.array());
+    auto const& usage = in.array();
+    record.usage = read_usage(usage);
+    if (usage.size() > usage_elements)
+        record.lease.history = read_history(usage[usage_elements]);
     record.initial_fleet = read_fleet(in.array());
     if (in.at_end())
         return record;
@@ -138,11 +191,14 @@
 
 std::string encode_duty_record(coordination::duty_record const& record)
 {
+    auto usage = encode_usage(record.usage);
+    if (record.lease.history)
+        usage.push_back(encode_history(*record.lease.history));
     auto out = json::array(
         {record.lease.holder.str(), record.lease.fencing.count(),
          record.lease.until.time_since_epoch().count(),
          encode_instance_address(record.holder_address), record.reported_through.count(),
-         encode_usage(record.usage), encode_fleet(record.initial_fleet)});
+         std::move(usage), encode_fleet(record.initial_fleet)});
     if (record.pending)
     {
         out.push_back(record.pending->window.count());
--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -98,6 +98,7 @@
         "streams_ended_without_event",
         "usage_reports_sent",
         "fleet_orders_sent",
+        "duty_claims_barred",
         "store_calls",
         "backend_crashes_seen",
         "segments_quarantined",
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -108,6 +108,7 @@
     streams_ended_without_event, ///< the same before the first event
     usage_reports_sent,
     fleet_orders_sent,
+    duty_claims_barred, ///< of a free lease, as this instance acted shortly before its last holder
     store_calls,
     backend_crashes_seen,
     segments_quarantined,
--- a/src/transport/duty_runner.cpp
+++ b/src/transport/duty_runner.cpp
@@ -1,6 +1,7 @@
 #include "transport/duty_runner.hpp"
 
 #include "coordination/fleet_planner.hpp"
+#include "coordination/lease_turns.hpp"
 #include "coordination/store_pacing.hpp"
 #include "protocol/duty_record_codec.hpp"
 #include "transport/async_signal.hpp"
@@ -71,6 +72,7 @@
     lease_.length = context.settings.lease_bound + duty_call_timeout;
     lease_.clock_bound = max_clock_error;
     lease_.delivery_bound = duty_call_timeout;
+    lease_.return_interval = context.settings.lease_bound;
 }
 
 void duty_runner::start()
@@ -136,7 +138,8 @@
     if (!held_lease_)
         co_return;
     auto record = held_lease_->record;
-    record.lease.until = context_.clock.store_earliest();
+    record.lease =
+        coordination::released_lease(record.lease, context_.clock.store_earliest(), acted_until_);
     co_await save_record(std::move(record));
 }
 
@@ -207,10 +210,20 @@
     }
     else if (auto const* of_last = std::get_if<coordination::claim_of_last_holder>(&claim))
         co_await acquire_lease(*last_held_, of_last->lease, rows->version);
+    else if (auto const* barred = std::get_if<coordination::claim_barred>(&claim))
+        record_barred_claim(*rows, barred->until);
     else
         follow_other_holder(*rows);
 }
 
+void duty_runner::record_barred_claim(duty_rows const& rows, state::wall_time until)
+{
+    context_.tables.counters.increment(state::event_counter::duty_claims_barred);
+    auto const wait = until - context_.clock.store_earliest();
+    log(log_event::lease_barred,
+        {{"holder", rows.record.lease.holder.str()}, {"for_ms", std::to_string(wait.count())}});
+}
+
 void duty_runner::follow_other_holder(duty_rows const& rows)
 {
     auto const& lease = rows.record.lease;
@@ -261,6 +274,7 @@
     coordination::duty_record record, state::lease_record new_lease, state::row_version version)
 {
     auto const previous_holder = record.lease.holder;
+    acted_until_ = coordination::inherited_acted_until(record.lease, context_.settings.id);
     context_.tables.usage.merge(record.usage);
     held_lease_ = held_lease{record, version, false};
     record.lease = new_lease;
@@ -434,6 +448,7 @@
     auto const lease = held_lease_->record.lease;
     auto const result =
         co_await context_.ports.fleet.order_engines(lease, group, count, duty_call_timeout);
+    acted_until_ = context_.clock.store_latest();
     bool const accepted = result == duty_result::accepted;
     placed_order const placed{count, now(), accepted};
     placed_orders_[group] = placed;
@@ -473,6 +488,7 @@
     auto const lease = held_lease_->record.lease;
     auto const result = co_await context_.ports.fleet.report_usage(
         lease, pending.window, pending.counts, duty_call_timeout);
+    acted_until_ = context_.clock.store_latest();
     if (result != duty_result::accepted)
     {
         log(log_event::duty_call_failed,
--- a/src/transport/duty_runner.hpp
+++ b/src/transport/duty_runner.hpp
@@ -54,6 +54,8 @@
     net::awaitable<std::optional<duty_rows>> read_rows();
     coordination::lease_claim claim_of(duty_rows const& rows) const;
     net::awaitable<void> find_holder();
+    /// Records that the lease is free and this instance may not take it yet.
+    void record_barred_claim(duty_rows const& rows, state::wall_time until);
     void follow_other_holder(duty_rows const& rows);
     coordination::duty_record continued_from_copy(coordination::duty_record record) const;
     void follow(coordination::duty_record const& record);
@@ -81,6 +83,8 @@
     std::atomic<bool> has_read_stored_state_ = false;
     coordination::lease_settings lease_;
     std::optional<held_lease> held_lease_;
+    /// Calls that this instance made under the lease have arrived by then; null without any.
+    std::optional<state::wall_time> acted_until_;
     std::optional<coordination::duty_record> last_held_; ///< when the last lease was lost
     /// When the current lease was acquired, if its row was a copy older than the store's era.
     std::optional<state::time_point> copy_taken_at_;
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -183,6 +183,9 @@
         {e::fleet_ordered, l::info, "fleet_ordered", "a number of engines was ordered"},
         {e::duty_call_failed, l::warning, "duty_call_failed",
          "a call of a duty was refused or got no response"},
+        {e::lease_barred, l::info, "lease_barred",
+         "the lease on the duties is free, and this instance waits for `for_ms`, as it made a call "
+         "shortly before `holder` did; other instances do not wait"},
         {e::handler_failed, l::error, "handler_failed",
          "a handler threw an exception; its request was dropped"}};
     return all;
--- a/src/transport/log.hpp
+++ b/src/transport/log.hpp
@@ -75,6 +75,7 @@
     usage_reported = 5003,
     fleet_ordered = 5004,
     duty_call_failed = 5005,
+    lease_barred = 5006,
     handler_failed = 9001
 };
 
