End streams of the entry program that fail without their last chunk

What callers saw: an answer that nobody could complete ended with the finish reason `failed`, but also with [DONE] and the last chunk, which clients take for the end of a complete answer.

Cause: stream_answer ended each response in the same way, whatever the finish reason.

Change: the event with the finish reason `failed` stays; [DONE] and the last chunk are left out, the connection is closed and answer_broken_off is logged with the reason. The stand-in engine can end its streams inside an event in good form.

Measured: answers_test.stream_that_fails_after_its_first_tokens_stays_incomplete failed with the two changed sources as before, and passes now. answer_of_engines_that_end_their_streams_inside_an_event_is_complete passes with both: the entry program takes only the event with the finish reason for the end of a stream.

--- a/src/protocol/chat_codec.cpp
+++ b/src/protocol/chat_codec.cpp
@@ -166,7 +166,8 @@
         return out;
     auto const reason = std::string{name_of(*chunk.finish)};
     append_sse_event(out, {}, prefix + R"({},"finish_reason":")" + reason + R"("}]})");
-    append_sse_event(out, {}, done_marker);
+    if (*chunk.finish != state::finish_reason::failed)
+        append_sse_event(out, {}, done_marker);
     return out;
 }
 
--- a/src/transport/answer_stream.cpp
+++ b/src/transport/answer_stream.cpp
@@ -3,6 +3,7 @@
 #include "protocol/chat_codec.hpp"
 #include "transport/clock.hpp"
 #include "transport/journal_watch.hpp"
+#include "transport/log.hpp"
 
 namespace auburnweir::transport
 {
@@ -36,6 +37,11 @@
     }
 }
 
+state::refusal_reason failure_of(state::journal const& journal)
+{
+    return journal.failure().value_or(state::refusal_reason::backend_failed);
+}
+
 bool failed_without_tokens(state::journal_chunk const& chunk)
 {
     return chunk.finish == state::finish_reason::failed && chunk.tokens.empty() &&
@@ -44,7 +50,7 @@
 
 net::awaitable<bool> refuse_failed_answer(caller_call& call, state::journal_ptr journal)
 {
-    auto const reason = journal->failure().value_or(state::refusal_reason::backend_failed);
+    auto const reason = failure_of(*journal);
     // The attempts may have been those of another instance, so none is known not to have run.
     protocol::problem p{
         reason, state::run_outcome::outcome_unknown, "no backend server answered", {}, {}};
@@ -53,12 +59,6 @@
     co_return co_await refuse(call, std::move(p));
 }
 
-void count_completion(caller_call& call, state::finish_reason finish)
-{
-    if (finish != state::finish_reason::failed)
-        call.context.tables.counters.increment(state::event_counter::requests_completed);
-}
-
 } // namespace
 
 net::awaitable<bool> stream_answer(
@@ -100,7 +100,17 @@
         journal->record_delivered(after);
         if (!chunk->finish)
             continue;
-        count_completion(call, *chunk->finish);
+        if (*chunk->finish == state::finish_reason::failed)
+        {
+            // A response without its last chunk is incomplete to each HTTP client.
+            call.writer.keep_alive(false);
+            log(log_event::answer_broken_off,
+                {{"request", journal->request().header.id.str()},
+                 {"reason", std::string{name_of(failure_of(*journal))}},
+                 {"last_event", std::to_string(after.count())}});
+            co_return false;
+        }
+        counters.increment(state::event_counter::requests_completed);
         co_return co_await call.writer.end();
     }
 }
@@ -123,7 +133,7 @@
             continue;
         if (*chunk->finish == state::finish_reason::failed)
             co_return co_await refuse_failed_answer(call, journal);
-        count_completion(call, *chunk->finish);
+        call.context.tables.counters.increment(state::event_counter::requests_completed);
         caller_response response;
         response.headers = {{"X-Request-Id", journal->request().header.id.str()}};
         response.body = protocol::encode_chat_answer(
--- a/tests/integration/answers_test.cpp
+++ b/tests/integration/answers_test.cpp
@@ -224,6 +224,43 @@
     EXPECT_EQ(system->engine_statistic_total("refused_continuations"), 0);
 }
 
+// Guards against ORDER: a body in good form that ends inside an event taken for the whole answer.
+TEST_F(answers_test, answer_of_engines_that_end_their_streams_inside_an_event_is_complete)
+{
+    deploy();
+    for (int i = 0; i < system->engines(); ++i)
+        deployment::control(system->engine(i), {{"tear_after", 60}});
+    auto answer = start_stream(0, "hello", "r1");
+    answer.read_to_end();
+    EXPECT_EQ(answer.text(), expected("hello"));
+    EXPECT_TRUE(answer.finished());
+    EXPECT_EQ(answer.finish_reason(), "length");
+    EXPECT_GE(system->counter(0, "auburnweir_retries_total{reason=\"stream_cut\"}"), 2);
+}
+
+// Guards against ORDER: an answer that nobody can complete ends as a complete body.
+TEST_F(answers_test, stream_that_fails_after_its_first_tokens_stays_incomplete)
+{
+    deployment_plan plan;
+    plan.token_us = 20000;
+    deploy(plan);
+    streamed_answer answer(
+        system->entry_port(0), "POST", "/v1/chat/completions",
+        with_bearer_token({{"X-Request-Id", "r1"}, {"X-Deadline-Ms", "500"}}),
+        chat_body("hello", answer_tokens, true));
+    answer.read_to_end();
+    EXPECT_EQ(answer.status(), 200);
+    EXPECT_GT(answer.tokens(), 0U);
+    EXPECT_EQ(answer.finish_reason(), "failed");
+    EXPECT_FALSE(answer.finished());
+    EXPECT_FALSE(answer.is_complete());
+
+    auto fetched = resume_stream(0, "r1", "");
+    fetched.read_to_end();
+    EXPECT_EQ(fetched.text(), answer.text());
+    EXPECT_FALSE(fetched.is_complete());
+}
+
 TEST_F(answers_test, answers_after_kill_of_all_engines_in_domain_are_complete)
 {
     deployment_plan plan;
--- a/tools/standins/engine.cpp
+++ b/tools/standins/engine.cpp
@@ -28,7 +28,9 @@
     std::int64_t token_us = 5000;
     std::int64_t slots = 8;
     double prefill_rate = 8000;
-    std::int64_t cut_after = -1;   ///< tokens after which each stream is reset; negative: never
+    std::int64_t cut_after = -1; ///< tokens after which each stream is reset; negative: never
+    std::int64_t tear_after =
+        -1; ///< tokens after which each stream ends inside an event, in good form; negative: never
     std::int64_t stall_after = -1; ///< tokens after which each stream stalls; negative: never
     std::int64_t refuse_status = 0;
     bool leaving = false;
@@ -254,6 +256,7 @@
         streams_[attempt] = stream;
         auto stream_response = make_response(200, "text/event-stream");
         bool is_open = co_await connection.writer.begin(std::move(stream_response));
+        bool is_torn = false;
         for (std::uint64_t i = 1; is_open && i <= request.max_tokens; ++i)
         {
             auto const sent = static_cast<std::int64_t>(i) - 1;
@@ -263,6 +266,13 @@
                 is_open = false;
                 break;
             }
+            if (settings_.tear_after >= 0 && sent >= settings_.tear_after)
+            {
+                auto const event = token_event(answer_token(request.prompt, sent + 1));
+                co_await connection.writer.send_chunk(event.substr(0, event.size() / 2));
+                is_torn = true;
+                break;
+            }
             if (settings_.stall_after >= 0 && sent >= settings_.stall_after)
                 co_await transport::sleep_for(io_, stall_duration);
             if (stream->exported)
@@ -281,7 +291,7 @@
             connection.reset();
             co_return;
         }
-        if (!stream->exported)
+        if (!stream->exported && !is_torn)
         {
             ++statistics_.finished;
             co_await connection.writer.send_chunk(finish_events());
@@ -361,6 +371,7 @@
         s.slots = protocol::integer_at(*body, "slots", s.slots);
         s.prefill_rate = protocol::number_at(*body, "prefill_rate", s.prefill_rate);
         s.cut_after = protocol::integer_at(*body, "cut_after", s.cut_after);
+        s.tear_after = protocol::integer_at(*body, "tear_after", s.tear_after);
         s.stall_after = protocol::integer_at(*body, "stall_after", s.stall_after);
         s.refuse_status = protocol::integer_at(*body, "refuse_status", s.refuse_status);
         s.leaving = protocol::flag_at(*body, "leaving", s.leaving);
