Pass on responses of streaming routes that can have no body

Cause: since a response without an event is a truncated stream, also one to HEAD and one with status 204, which have no body to hold events. Found when the diff was read.

Change: such responses are relayed as those of other routes. event_splitter::scan_lines is split by case, without a change of behaviour.

--- a/src/protocol/event_splitter.cpp
+++ b/src/protocol/event_splitter.cpp
@@ -38,40 +38,52 @@
 
 void event_splitter::scan_lines()
 {
-    constexpr std::string_view line_end_characters = "\r\n";
     while (scanned_ < buffer_.size())
     {
         if (std::exchange(follows_cr_, false))
-        {
-            bool const is_crlf = buffer_[scanned_] == '\n';
-            uses_bare_cr_ = uses_bare_cr_ || !is_crlf;
-            auto const end = scanned_ - 1;
-            scanned_ += is_crlf ? 1 : 0;
-            end_line(end, scanned_);
-            continue;
-        }
-        bool const skips_lf = std::exchange(skips_lf_, false) && buffer_[scanned_] == '\n';
-        if (skips_lf)
-        {
-            line_begin_ = ++scanned_;
-            if (!event_has_fields_)
-                complete_ = line_begin_;
-            continue;
-        }
-        auto const end = buffer_.find_first_of(line_end_characters, scanned_);
-        scanned_ = end == std::string::npos ? buffer_.size() : end + 1;
-        if (end == std::string::npos)
-            return;
-        if (buffer_[end] == '\r' && !uses_bare_cr_)
-        {
-            follows_cr_ = true;
-            continue;
-        }
-        skips_lf_ = buffer_[end] == '\r';
-        end_line(end, scanned_);
+            end_line_after_cr();
+        else if (std::exchange(skips_lf_, false) && buffer_[scanned_] == '\n')
+            extend_last_line_end();
+        else
+            find_line_end();
     }
 }
 
+void event_splitter::end_line_after_cr()
+{
+    auto const end = scanned_ - 1;
+    bool const is_crlf = buffer_[scanned_] == '\n';
+    if (is_crlf)
+        ++scanned_;
+    else
+        uses_bare_cr_ = true;
+    end_line(end, scanned_);
+}
+
+void event_splitter::extend_last_line_end()
+{
+    line_begin_ = ++scanned_;
+    if (!event_has_fields_)
+        complete_ = line_begin_;
+}
+
+void event_splitter::find_line_end()
+{
+    auto const end = buffer_.find_first_of("\r\n", scanned_);
+    if (end == std::string::npos)
+    {
+        scanned_ = buffer_.size();
+        return;
+    }
+    scanned_ = end + 1;
+    bool const is_cr = buffer_[end] == '\r';
+    follows_cr_ = is_cr && !uses_bare_cr_;
+    if (follows_cr_)
+        return;
+    skips_lf_ = is_cr;
+    end_line(end, scanned_);
+}
+
 void event_splitter::end_line(std::size_t end, std::size_t next_begin)
 {
     auto const line = std::string_view{buffer_}.substr(line_begin_, end - line_begin_);
--- a/src/protocol/event_splitter.hpp
+++ b/src/protocol/event_splitter.hpp
@@ -51,6 +51,11 @@
 private:
     /// Finds the ends of the lines that have not been searched yet.
     void scan_lines();
+    /// Ends a line at the CR before the byte that is scanned next.
+    void end_line_after_cr();
+    /// Adds a LF to the end of a line that its CR has ended already.
+    void extend_last_line_end();
+    void find_line_end();
     void end_line(std::size_t end, std::size_t next_begin);
     void end_event(std::size_t next_begin);
     void record_field(std::string_view line);
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -338,7 +338,8 @@
         if (!co_await relays_failure(server, response))
             co_return;
     }
-    bool const streamed = route_->streaming && is_success(status);
+    bool const has_body = request_.method() != http::verb::head && status != status_no_content;
+    bool const streamed = route_->streaming && is_success(status) && has_body;
     auto result = relay_result::interrupted;
     if (streamed)
     {
--- a/src/transport/response_status.hpp
+++ b/src/transport/response_status.hpp
@@ -9,6 +9,7 @@
 inline constexpr beast::string_view event_stream_type = "text/event-stream";
 
 inline constexpr int status_ok = 200;
+inline constexpr int status_no_content = 204;
 inline constexpr int status_request_timeout = 408;
 inline constexpr int status_misdirected = 421;
 inline constexpr int status_too_many_requests = 429;
--- a/tests/integration/gateway_stream_end_test.cpp
+++ b/tests/integration/gateway_stream_end_test.cpp
@@ -39,7 +39,8 @@
     int torn_after = -1; ///< whole events, before the part of the next one; negative: not torn
     std::string torn_part = "id: 5\ndat";
     std::string line_end = "\n";
-    bool tears_resumed = false; ///< resumed streams are torn as well
+    bool tears_resumed = false;  ///< resumed streams are torn as well
+    std::string bodiless_status; ///< of a response that has no body; empty: streams are sent
 };
 
 std::string event(int number, std::string const& line_end = "\n")
@@ -120,6 +121,10 @@
 
     static std::string response_to(std::string const& request, stream_script const& script)
     {
+        if (!script.bodiless_status.empty())
+            return "HTTP/1.1 " + script.bodiless_status +
+                   "\r\nAuburnweir-Instance-Stamp: s\r\nAuburnweir-Attempt-Id: " +
+                   header_of(request, "Auburnweir-Attempt-Id") + "\r\n\r\n";
         auto const resumed = header_of(request, "Last-Event-Id");
         bool const is_torn = script.torn_after >= 0 && (resumed.empty() || script.tears_resumed);
         int const first = resumed.empty() ? 1 : std::stoi(resumed) + 1;
@@ -342,6 +347,22 @@
     EXPECT_EQ(response.body, "");
 }
 
+// Guards against a response that can have no body taken for a stream without events.
+TEST_P(gateway_stream_end_test, response_that_has_no_body_is_passed_on)
+{
+    stream_script bodiless;
+    bodiless.bodiless_status = "204 No Content";
+    {
+        listed_server server(system, "bodiless-1", serve(bodiless, runs_));
+        EXPECT_EQ(system.send_request("/flow/stream/x", "i1").status, 204);
+    }
+    bodiless.bodiless_status = "200 OK";
+    listed_server server(system, "bodiless-2", serve(bodiless, runs_));
+    header_list const headers{{"Host", "calls.test"}, {"Auburnweir-Attempt-Id", "i2"}};
+    EXPECT_EQ(call(system.port(), "HEAD", "/flow/stream/y", headers, "").status, 200);
+    EXPECT_EQ(runs_, 2);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     framings, gateway_stream_end_test,
     testing::Values(framing::chunks, framing::chunks_and_trailer, framing::length),
--- a/tests/unit/attempt_policy_test.cpp
+++ b/tests/unit/attempt_policy_test.cpp
@@ -55,6 +55,18 @@
     EXPECT_TRUE(is<retry_elsewhere>(decide_attempt(attempt_lost{}, p, true)));
 }
 
+TEST_F(attempt_policy_test, decide_when_a_stream_is_truncated_goes_on_only_where_it_may_run_again)
+{
+    auto resumable = after_one_attempt(retry_rule::resumable, true);
+    resumable.response_begun = true;
+    auto const decision = decide_attempt(attempt_truncated{}, resumable, true);
+    ASSERT_TRUE(is<retry_elsewhere>(decision));
+    EXPECT_EQ(std::get<retry_elsewhere>(decision).cause, state::retry_reason::stream_truncated);
+    EXPECT_TRUE(is<reply_outcome_unknown>(decide_attempt(attempt_truncated{}, resumable, false)));
+    auto const once = after_one_attempt(retry_rule::at_most_once, true);
+    EXPECT_TRUE(is<reply_outcome_unknown>(decide_attempt(attempt_truncated{}, once, true)));
+}
+
 TEST_F(attempt_policy_test, decide_when_the_response_does_not_fit_retries_only_idempotent_requests)
 {
     auto const idempotent = after_one_attempt(retry_rule::idempotent, true);
