Check the turns of the duties' holders in the soak

The soak stops, kills and restarts gateways in series that overlap; its check of the duties knew decreasing numbers and double reports, and not the order A, B, A within the lease bound.

--- a/tests/soak/soak_checks.cpp
+++ b/tests/soak/soak_checks.cpp
@@ -64,6 +64,7 @@
         check_added_routes();
         check_quota();
         check_duty_holders();
+        check_duty_turns();
         return violations_;
     }
 
@@ -233,6 +234,34 @@
         }
     }
 
+    /// Holders must not act in the order A, B, A within the lease bound.
+    void check_duty_turns()
+    {
+        constexpr milliseconds lease_bound{3000};
+        std::vector<tests::json const*> calls;
+        for (auto const& duty : record_.duty_calls)
+            if (!just_resumed(duty))
+                calls.push_back(&duty);
+        auto const time_of = [](tests::json const& duty)
+        { return milliseconds{duty["at_ms"].get<std::int64_t>()}; };
+        for (std::size_t last = 0; last < calls.size(); ++last)
+        {
+            auto const& call = *calls[last];
+            bool others_between = false;
+            for (auto i = last; i-- > 0 && time_of(call) - time_of(*calls[i]) <= lease_bound;)
+            {
+                bool const is_own = (*calls[i])["holder"] == call["holder"];
+                if (is_own && others_between)
+                    violations_.push_back(
+                        "ONE: " + call["holder"].get<std::string>() + " acted again after " +
+                        std::to_string((time_of(call) - time_of(*calls[i])).count()) + " ms");
+                if (is_own)
+                    break;
+                others_between = true;
+            }
+        }
+    }
+
     soak_record const& record_;
     std::vector<std::string> violations_;
 };
