--- a/src/coordination/fleet_planner.cpp
+++ b/src/coordination/fleet_planner.cpp
@@ -13,6 +13,12 @@
 using state::fleet_counts;
 using state::fleet_group;
 
+/// Delay before an order that was not accepted is placed again.
+constexpr state::duration order_retry_delay = std::chrono::milliseconds{1500};
+
+/// Time beyond an engine's start time after which missing engines are ordered again.
+constexpr state::duration engine_start_margin = std::chrono::seconds{3};
+
 std::int64_t count_of(fleet_counts const& counts, fleet_group const& group)
 {
     auto const it = counts.find(group);
@@ -121,4 +127,15 @@
     return plan;
 }
 
+bool order_is_due(
+    std::optional<placed_order> const& last, std::int64_t count, std::int64_t running,
+    state::duration startup_time, state::time_point now)
+{
+    if (!last || last->count != count)
+        return true;
+    if (!last->accepted)
+        return now - last->at >= order_retry_delay;
+    return running < count && now - last->at >= startup_time + engine_start_margin;
+}
+
 } // namespace auburnweir::coordination
--- a/src/coordination/fleet_planner.hpp
+++ b/src/coordination/fleet_planner.hpp
@@ -5,6 +5,7 @@
 #include "state/route_set.hpp"
 #include "state/server_table.hpp"
 
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -37,6 +38,23 @@
     state::fleet_counts const& ready, std::set<state::failure_domain_id> const& evacuated,
     fleet_settings const& settings = {});
 
+/// The last order that an instance placed for a fleet group.
+struct placed_order
+{
+    std::int64_t count = 0;
+    state::time_point at{};
+    bool accepted = false;
+};
+
+/// Whether to order a number of engines for a group now.
+///
+/// An accepted order is repeated only when engines are missing that have had the time to start.
+/// @param last  null before the first order
+/// @param running  engines of the group that accept requests
+bool order_is_due(
+    std::optional<placed_order> const& last, std::int64_t count, std::int64_t running,
+    state::duration startup_time, state::time_point now);
+
 } // namespace auburnweir::coordination
 
 #endif
--- a/src/transport/duty_runner.cpp
+++ b/src/transport/duty_runner.cpp
@@ -1,6 +1,5 @@
 #include "transport/duty_runner.hpp"
 
-#include "coordination/fleet_planner.hpp"
 #include "coordination/lease_turns.hpp"
 #include "coordination/store_pacing.hpp"
 #include "protocol/duty_record_codec.hpp"
@@ -52,12 +51,6 @@
 /// Interval between fleet plans.
 constexpr state::duration plan_period = std::chrono::milliseconds{500};
 
-/// Delay before an order that was not accepted is placed again.
-constexpr state::duration order_retry_delay = std::chrono::milliseconds{1500};
-
-/// Time beyond an engine's start time after which missing engines are ordered again.
-constexpr state::duration engine_start_margin = std::chrono::seconds{3};
-
 constexpr char const* duty_table_name = "auburnweir-duties";
 constexpr char const* duty_key = "lease";
 
@@ -422,14 +415,11 @@
         {
             auto const placed = placed_orders_.find(group);
             auto const running = ready.find(group);
-            auto const missing = count - (running == ready.end() ? 0 : running->second);
-            bool const same_count = placed != placed_orders_.end() && placed->second.count == count;
-            auto const retry_delay = same_count && placed->second.accepted
-                                         ? service.fleet->startup_time + engine_start_margin
-                                         : order_retry_delay;
-            bool const settled = same_count && placed->second.accepted && missing <= 0;
-            bool const too_soon = same_count && now() - placed->second.at < retry_delay;
-            if (settled || too_soon)
+            bool const is_due = coordination::order_is_due(
+                placed == placed_orders_.end() ? std::nullopt : std::optional{placed->second},
+                count, running == ready.end() ? 0 : running->second, service.fleet->startup_time,
+                now());
+            if (!is_due)
                 continue;
             if (!lease_permits_calls())
                 co_return;
@@ -450,8 +440,7 @@
         co_await context_.ports.fleet.order_engines(lease, group, count, duty_call_timeout);
     acted_until_ = context_.clock.store_latest();
     bool const accepted = result == duty_result::accepted;
-    placed_order const placed{count, now(), accepted};
-    placed_orders_[group] = placed;
+    placed_orders_[group] = {count, now(), accepted};
     context_.tables.counters.increment(state::event_counter::fleet_orders_sent);
     log(accepted ? log_event::fleet_ordered : log_event::duty_call_failed,
         {{"call", "order"},
--- a/src/transport/duty_runner.hpp
+++ b/src/transport/duty_runner.hpp
@@ -2,6 +2,7 @@
 #define AUBURNWEIR_TRANSPORT_DUTY_RUNNER_HPP
 
 #include "coordination/duty_lease.hpp"
+#include "coordination/fleet_planner.hpp"
 #include "coordination/lease_claim.hpp"
 #include "transport/gateway_context.hpp"
 #include "transport/peer_exchange.hpp"
@@ -32,14 +33,6 @@
         bool is_stored = false; ///< the store has acknowledged the record
     };
 
-    /// The last order that this instance placed for a fleet group.
-    struct placed_order
-    {
-        std::int64_t count = 0;
-        state::time_point at{};
-        bool accepted = false;
-    };
-
     /// What the rows of the duties say.
     struct duty_rows
     {
@@ -92,7 +85,7 @@
     state::time_point started_at_{};
     state::time_point renewed_at_{};
     state::time_point next_renewal_at_{}; ///< later than `renewed_at_` after a refused renewal
-    std::map<state::fleet_group, placed_order> placed_orders_;
+    std::map<state::fleet_group, coordination::placed_order> placed_orders_;
     state::time_point planned_at_{};
     state::time_point next_lookup_at_{}; ///< earliest time of the next lookup of the holder
     int failed_lookups_ = 0;             ///< in a row
--- a/tests/unit/gateway_decisions_test.cpp
+++ b/tests/unit/gateway_decisions_test.cpp
@@ -394,5 +394,40 @@
     EXPECT_TRUE(usage_is_due(progress));
 }
 
+/// Orders for six engines that need 20 s to start.
+class order_is_due_test : public testing::Test
+{
+protected:
+    bool is_due(std::int64_t running, state::duration after) const
+    {
+        return order_is_due(last, 6, running, 20s, ordered_at + after);
+    }
+
+    state::time_point ordered_at{1000s};
+    std::optional<placed_order> last = placed_order{6, ordered_at, true};
+};
+
+TEST_F(order_is_due_test, first_order_and_new_number_are_due_at_once)
+{
+    last->count = 5;
+    EXPECT_TRUE(is_due(6, 0s));
+    last.reset();
+    EXPECT_TRUE(is_due(6, 0s));
+}
+
+TEST_F(order_is_due_test, accepted_order_is_due_again_only_for_engines_that_did_not_start)
+{
+    EXPECT_FALSE(is_due(6, 60s));
+    EXPECT_FALSE(is_due(5, 22s));
+    EXPECT_TRUE(is_due(5, 23s));
+}
+
+TEST_F(order_is_due_test, order_that_was_not_accepted_is_due_again_soon)
+{
+    last->accepted = false;
+    EXPECT_FALSE(is_due(6, 1499ms));
+    EXPECT_TRUE(is_due(6, 1500ms));
+}
+
 } // namespace
 } // namespace auburnweir::coordination
