Keep the requests of the connection tests in progress together

Cause: the test counts connections of 40 requests that are sent together to servers that answer after 200 ms. Under load the threads that send them take longer than that to start, so that later requests use the connections of earlier ones, as they should, and fewer than 20 are open.

Change: the servers answer after 1 s. The bounds are the same; more connections are open, so the checks are met only if more are closed.

--- a/tests/integration/gateway_connections_test.cpp
+++ b/tests/integration/gateway_connections_test.cpp
@@ -23,6 +23,10 @@
 protected:
     static constexpr int requests = 40;
 
+    /// Keeps requests that are sent together in progress until the last one has been sent, so that
+    /// none uses the connection of another.
+    static constexpr std::chrono::milliseconds response_delay{1000};
+
     /// Connections that are open without any to a backend server.
     static constexpr int other_connections = 4;
 
@@ -68,7 +72,7 @@
     {
         at_start_ = descriptors();
         for (int i = 0; i < 2; ++i)
-            gateway_deployment::control(system.backend(i), {{"delay_ms", 200}});
+            gateway_deployment::control(system.backend(i), {{"delay_ms", response_delay.count()}});
     }
 
     gateway_deployment system{gateway_deployment_plan{}};
