Log and count the requests on routes that were added while the gateway ran

Logs named a request's route but not since when the route exists, so refusals of requests on added routes could not be told from the others, nor their reasons.

Each line on a request that is finished, refused or broken off now names the configuration version that added its route, configuration_taken names the number of routes that a version adds, and three counters show the requests on added routes, those relayed and those refused.

The logic is unchanged.

--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -69,6 +69,9 @@
     event_counter_names{
         "requests_accepted",
         "requests_completed",
+        "added_route_requests",
+        "added_route_requests_refused",
+        "added_route_requests_relayed",
         "callers_left",
         "tokens_streamed",
         "tokens_recomputed",
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -79,6 +79,9 @@
 {
     requests_accepted,
     requests_completed,
+    added_route_requests,         ///< on routes that were added while this process ran
+    added_route_requests_refused, ///< and those that this instance answered itself
+    added_route_requests_relayed, ///< and those that got a server's complete response
     callers_left,
     tokens_streamed,
     tokens_recomputed,
--- a/src/state/route_table.hpp
+++ b/src/state/route_table.hpp
@@ -2,6 +2,7 @@
 #define AUBURNWEIR_STATE_ROUTE_TABLE_HPP
 
 #include "state/lock_rank.hpp"
+#include "state/route_history.hpp"
 #include "state/route_set.hpp"
 #include "state/store_position.hpp"
 
@@ -23,10 +24,25 @@
         ranked_lock lock(mutex_);
         if (routes_ && routes->version() <= routes_->version())
             return false;
+        added_routes_ = history_.record(*routes);
         routes_ = std::move(routes);
         return true;
     }
 
+    /// Number of routes that the active version added to the one before.
+    std::size_t added_routes() const
+    {
+        ranked_lock lock(mutex_);
+        return added_routes_;
+    }
+
+    /// The version that added a route while this process ran; null for routes of its first version.
+    std::optional<configuration_version> added_in(route const& r) const
+    {
+        ranked_lock lock(mutex_);
+        return history_.added_in(r);
+    }
+
     /// Records that all changes of the operator rows up to `newest` have been applied.
     void mark_applied_through(store_position newest)
     {
@@ -68,6 +84,8 @@
 private:
     mutable ranked_mutex mutex_{lock_rank::configuration};
     route_set_ptr routes_;
+    route_history history_;
+    std::size_t added_routes_ = 0;
     store_position newest_;
     time_point confirmed_at_{};
 };
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -79,6 +79,22 @@
     refusal_ = std::move(p);
 }
 
+void forwarder::set_route(state::route const* found)
+{
+    using state::event_counter;
+    route_ = found;
+    if (!found)
+        return;
+    route_added_in_ = context_.tables.routes.added_in(*found);
+    count_on_added_route(event_counter::added_route_requests);
+}
+
+void forwarder::count_on_added_route(state::event_counter event)
+{
+    if (route_added_in_)
+        context_.tables.counters.increment(event);
+}
+
 bool forwarder::admit()
 {
     auto& tables = context_.tables;
@@ -112,12 +128,12 @@
         {settings.configuration_bound, settings.revocation_bound}, tables.quotas);
     if (auto const* refused = std::get_if<coordination::request_refused>(&decision))
     {
-        route_ = refused->route;
+        set_route(refused->route);
         set_refusal(refused->reason, refused->retry_after, "");
         return false;
     }
     auto const& admitted = std::get<coordination::request_admitted>(decision);
-    route_ = admitted.route;
+    set_route(admitted.route);
     service_ = admitted.service;
     organisation_ = admitted.organisation;
     quota_cost_ = admitted.quota_cost;
@@ -362,6 +378,7 @@
     case relay_result::complete:
         done_ = true;
         context_.tables.counters.increment(state::event_counter::requests_completed);
+        count_on_added_route(state::event_counter::added_route_requests_relayed);
         context_.tables.full_response_latency.record(now() - arrived_at_);
         log_finished(logged(), {routes_, confirmation_age_}, server.listed.id, status);
         break;
@@ -498,6 +515,7 @@
         reply.headers.push_back(std::move(header));
     auto const status = reply.status;
     context_.tables.counters.increment(p.reason);
+    count_on_added_route(state::event_counter::added_route_requests_refused);
     log_refused(logged(), {routes_, confirmation_age_}, p, status, quarantined_segment_);
     co_await writer_.send(std::move(reply));
 }
@@ -513,7 +531,7 @@
 
 logged_request forwarder::logged() const
 {
-    return {forwarded_, route_, progress_.attempts, arrived_at_};
+    return {forwarded_, route_, progress_.attempts, arrived_at_, route_added_in_};
 }
 
 void forwarder::log_attempt(
--- a/src/transport/forwarder.hpp
+++ b/src/transport/forwarder.hpp
@@ -33,6 +33,9 @@
     static constexpr state::duration retry_delay_when_full = std::chrono::milliseconds{400};
 
     bool admit();
+    /// Records which route the request was found to be on.
+    void set_route(state::route const* found);
+    void count_on_added_route(state::event_counter event);
     bool may_resume_elsewhere();
     net::awaitable<void> run_attempts();
     /// Handles that no server takes a request before `until`.
@@ -67,6 +70,7 @@
     state::forwarded_request forwarded_;
     state::route_set_ptr routes_;
     state::route const* route_ = nullptr;
+    std::optional<state::configuration_version> route_added_in_;
     state::service_id service_;
     state::organisation_quota const* organisation_ = nullptr;
     state::duration confirmation_age_{0};
--- a/src/transport/request_log.cpp
+++ b/src/transport/request_log.cpp
@@ -35,6 +35,12 @@
     return request.route ? request.route->id.str() : "";
 }
 
+/// The version that added the route; empty for routes of the first version.
+std::string route_added_in(logged_request const& request)
+{
+    return request.route_added_in ? std::to_string(request.route_added_in->count()) : "";
+}
+
 /// What the response names; empty without a response.
 std::string named_text(attempt_trace const& trace)
 {
@@ -55,6 +61,7 @@
     log(log_event::request_finished,
         {{"request", request.request.id.str()},
          {"route", route_of(request)},
+         {"route_added", route_added_in(request)},
          {"backend", backend.str()},
          {"status", std::to_string(status)},
          {"sends", std::to_string(request.sends)},
@@ -71,6 +78,7 @@
     log(log_event::request_refused,
         {{"request", request.request.id.str()},
          {"route", route_of(request)},
+         {"route_added", route_added_in(request)},
          {"reason", std::string{name_of(refusal.reason)}},
          {"segment", segment},
          {"status", std::to_string(status)},
@@ -120,6 +128,7 @@
 {
     log(log_event::answer_broken_off, {{"request", request.request.id.str()},
                                        {"route", route_of(request)},
+                                       {"route_added", route_added_in(request)},
                                        {"reason", std::string{name_of(reason)}},
                                        {"last_event", last_event},
                                        {"after_ms", after_text(request)}});
--- a/src/transport/request_log.hpp
+++ b/src/transport/request_log.hpp
@@ -22,6 +22,8 @@
     state::route const* route = nullptr; ///< null when it has none
     int sends = 0;
     state::time_point arrived_at{};
+    /// That added the route while this process ran; null otherwise.
+    std::optional<state::configuration_version> route_added_in;
 };
 
 /// The configuration that a request was handled with.
--- a/src/transport/store_watch.cpp
+++ b/src/transport/store_watch.cpp
@@ -302,9 +302,11 @@
         return;
     }
     context_.tables.servers.set_cold_policy(std::move(cold_servers), now());
-    log(log_event::configuration_taken, {{"version", std::to_string(version.count())},
-                                         {"routes", std::to_string(count)},
-                                         {"organisations", std::to_string(organisations)}});
+    log(log_event::configuration_taken,
+        {{"version", std::to_string(version.count())},
+         {"routes", std::to_string(count)},
+         {"added", std::to_string(context_.tables.routes.added_routes())},
+         {"organisations", std::to_string(organisations)}});
 }
 
 net::awaitable<void> store_watch::watch_directory()
