--- a/tests/support/gateway_deployment.cpp
+++ b/tests/support/gateway_deployment.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <numeric>
 #include <thread>
 
 namespace auburnweir::tests
@@ -97,9 +98,18 @@
     for (auto const& [key, value] : settings)
         text << key << " = " << value << "\n";
     text.close();
-    auto new_process = std::make_unique<process>(std::vector{
-        program_path("auburnweir-gateway"), std::string{"--settings"}, path, std::string{"--seed"},
-        std::to_string(index + 1)});
+    std::vector<std::string> command;
+    if (plan_.may_be_cut)
+        command = {
+            "/usr/bin/env", "LD_PRELOAD=" + program_path("tests/liblink_cut.so"),
+            "AUBURNWEIR_LINK_CUT=" + cut_file(index),
+            // The sanitizer's runtime is not the first library then.
+            "ASAN_OPTIONS=verify_asan_link_order=0"};
+    for (auto const& word :
+         {program_path("auburnweir-gateway"), std::string{"--settings"}, path,
+          std::string{"--seed"}, std::to_string(index + 1)})
+        command.push_back(word);
+    auto new_process = std::make_unique<process>(std::move(command));
     new_process->append_output_to(log_folder() + "/gateway-" + std::to_string(index + 1) + ".log");
     auto const callers = new_process->port("callers");
     if (is_first_start)
@@ -116,6 +126,38 @@
         caller_proxy_ports_[index] = callers;
 }
 
+std::string gateway_deployment::cut_file(int gateway) const
+{
+    return folder_ + "/cut-" + std::to_string(gateway);
+}
+
+void gateway_deployment::cut_off(int gateway, cut_kind kind)
+{
+    std::vector<int> all(backends_.size());
+    std::iota(all.begin(), all.end(), 0);
+    cut_off(gateway, kind, all);
+}
+
+void gateway_deployment::cut_off(int gateway, cut_kind kind, std::vector<int> const& backends)
+{
+    auto const new_file = cut_file(gateway) + ".new";
+    std::ofstream text(new_file);
+    for (auto const index : backends)
+        text << (kind == cut_kind::refused ? "refuse " : "drop ") << backend_proxy_ports_.at(index)
+             << "\n";
+    text.close();
+    std::filesystem::rename(new_file, cut_file(gateway));
+    if (!proxy_)
+        return;
+    for (auto const index : backends)
+        set_proxy_faults(backend_proxy_ports_.at(index), {{"cut", true}});
+}
+
+void gateway_deployment::heal(int gateway)
+{
+    std::filesystem::remove(cut_file(gateway));
+}
+
 std::uint16_t gateway_deployment::port(int index) const
 {
     return caller_proxy_ports_.at(index);
--- a/tests/support/gateway_deployment.hpp
+++ b/tests/support/gateway_deployment.hpp
@@ -18,6 +18,7 @@
     int gateways = 1;
     int backends = 2;
     bool proxied = false;    ///< connections pass the fault-injecting proxy
+    bool may_be_cut = false; ///< gateways can be cut off from the backends, see `cut_off`
     std::string log_folder;  ///< for the gateways' logs; empty: warnings alone, until the end
     int failure_domains = 1; ///< gateways and backends are assigned round-robin
     std::map<std::string, std::string> settings; ///< of `[gateway]`, over the defaults
@@ -93,6 +94,19 @@
 
     double counter(int gateway, std::string const& name);
 
+    /// How connections of a gateway that is cut off from the backends fail.
+    enum class cut_kind
+    {
+        refused, ///< new ones at once
+        dropped  ///< new ones get no answer
+    };
+
+    /// Cuts a gateway off from all backends until it is healed. With `proxied` the open
+    /// connections of all gateways to the backends are reset, else they live on.
+    void cut_off(int gateway, cut_kind kind);
+    void cut_off(int gateway, cut_kind kind, std::vector<int> const& backends);
+    void heal(int gateway);
+
     /// Starts a gateway, or starts it again when its process has ended.
     void start_gateway(int index);
 
@@ -101,6 +115,7 @@
 
 private:
     std::string domain(int index) const;
+    std::string cut_file(int gateway) const;
     std::string const& log_folder() const;
 
     gateway_deployment_plan plan_;
