--- a/src/coordination/attempt_policy.cpp
+++ b/src/coordination/attempt_policy.cpp
@@ -69,9 +69,10 @@
                     return reply_outcome_unknown{
                         refusal_reason::backend_failed,
                         give_up_cause(progress, limits, budget_left)};
+                bool const has_no_link = attempt.cause == retry_reason::connect_failed ||
+                                         attempt.cause == retry_reason::relay_refused;
                 return reply_not_run{
-                    attempt.cause == retry_reason::connect_failed ? refusal_reason::no_backend
-                                                                  : refusal_reason::backend_full};
+                    has_no_link ? refusal_reason::no_backend : refusal_reason::backend_full};
             },
             [&](attempt_lost const& attempt) -> attempt_decision
             {
--- a/src/programs/ctl.cpp
+++ b/src/programs/ctl.cpp
@@ -125,6 +125,21 @@
     return found.empty() ? exit_ok : exit_failed;
 }
 
+void print_list(json const& list, std::vector<char const*> const& columns)
+{
+    std::vector<row> rows(1);
+    for (auto const* c : columns)
+        rows[0].emplace_back(c);
+    for (auto const& item : list)
+    {
+        row r;
+        for (auto const* c : columns)
+            r.push_back(text_of(item, c));
+        rows.push_back(std::move(r));
+    }
+    print_table(rows);
+}
+
 void show(json const& status)
 {
     print_table(
@@ -134,6 +149,9 @@
          {"stopping", text_of(status, "stopping")},
          {"holds duties", text_of(status, "holds_duties")},
          {"duties held by", text_of(status, "duties_held_by")}});
+    auto const unreachable = protocol::array_at(status, "unreachable_services");
+    if (!unreachable.empty())
+        print_list(unreachable, {"service", "for_ms", "relays"});
     auto const& configuration = status["configuration"];
     if (!configuration.is_object())
         return;
@@ -144,21 +162,6 @@
          {"organisations", text_of(configuration, "organisations")}});
 }
 
-void print_list(json const& list, std::vector<char const*> const& columns)
-{
-    std::vector<row> rows(1);
-    for (auto const* c : columns)
-        rows[0].emplace_back(c);
-    for (auto const& item : list)
-    {
-        row r;
-        for (auto const* c : columns)
-            r.push_back(text_of(item, c));
-        rows.push_back(std::move(r));
-    }
-    print_table(rows);
-}
-
 json backends_of(json const& status, std::string const& service)
 {
     auto list = json::array();
--- a/src/programs/gateway.cpp
+++ b/src/programs/gateway.cpp
@@ -73,7 +73,7 @@
     }
     std::cout << "listening callers=" << server->caller_port() << " ready=" << server->ready_port()
               << " metrics=" << server->metrics_port() << " peers=" << server->peer_port()
-              << std::endl;
+              << " relay=" << server->relay_port() << std::endl;
     server->run();
     return exit_ok;
 }
--- a/src/protocol/gateway_settings.cpp
+++ b/src/protocol/gateway_settings.cpp
@@ -50,6 +50,11 @@
         endpoint_option(
             "peer_listen", "address for the other instances", "127.0.0.1:0",
             &settings::peer_listen),
+        endpoint_option(
+            "relay_listen",
+            "address for requests that other instances relay through this one; none are relayed "
+            "unless its host is that of `peer_listen`",
+            "127.0.0.1:0", &settings::relay_listen),
         peer_key_option(&settings::peer_key),
         endpoint_option("store", "address of the platform's store", "", &settings::store),
         endpoint_option(
--- a/src/protocol/gateway_settings.hpp
+++ b/src/protocol/gateway_settings.hpp
@@ -25,6 +25,7 @@
     std::string ready_path;
     state::endpoint metrics_listen;
     state::endpoint peer_listen;
+    state::endpoint relay_listen;
     std::string peer_key;
     state::endpoint store;
     state::endpoint fleet;
--- a/src/protocol/gateway_status.cpp
+++ b/src/protocol/gateway_status.cpp
@@ -73,6 +73,23 @@
         {"refused_for_ms", milliseconds(verdict.age)}};
 }
 
+json encode_unreachable(gateway_status const& status)
+{
+    auto out = json::array();
+    for (auto const& [service, since] : status.unreachable)
+    {
+        auto relays = json::array();
+        if (auto const peers = status.relays.find(service); peers != status.relays.end())
+            for (auto const& peer : peers->second)
+                relays.push_back(peer.id.str());
+        out.push_back(
+            {{"service", service.str()},
+             {"for_ms", milliseconds(status.now - since)},
+             {"relays", std::move(relays)}});
+    }
+    return out;
+}
+
 } // namespace
 
 std::string encode_status(gateway_status const& status)
@@ -88,6 +105,7 @@
         {"rank", status.rank.rank},
         {"ranked_instances", status.rank.count},
         {"configuration", encode_configuration(status)},
+        {"unreachable_services", encode_unreachable(status)},
         {"instances", json::array()},
         {"quarantined_segments", json::array()},
         {"backends", json::array()}};
--- a/src/protocol/gateway_status.hpp
+++ b/src/protocol/gateway_status.hpp
@@ -2,6 +2,7 @@
 #define AUBURNWEIR_PROTOCOL_GATEWAY_STATUS_HPP
 
 #include "state/instance_report_table.hpp"
+#include "state/relay_peer.hpp"
 #include "state/route_set.hpp"
 #include "state/segment_evidence.hpp"
 #include "state/server_table.hpp"
@@ -27,6 +28,8 @@
     state::instance_rank rank;                        ///< among the known instances
     std::vector<state::reporting_instance> instances; ///< the others; only set on the duty holder
     std::vector<state::server_view> servers;
+    std::map<state::service_id, state::time_point> unreachable; ///< services, and since when
+    state::relay_peers relays;                                  ///< that relay for this instance
     std::vector<state::segment_verdict> quarantined_segments;
     state::time_point now{};
 };
--- a/src/protocol/instance_report_codec.cpp
+++ b/src/protocol/instance_report_codec.cpp
@@ -10,14 +10,19 @@
 
 using nlohmann::json;
 
-state::endpoint read_endpoint(element_reader& in)
+std::uint16_t read_port(element_reader& in)
 {
     constexpr std::uint64_t max_port = 65535;
-    state::endpoint address;
-    address.host = in.text();
     auto const port = in.unsigned_integer();
     require(port <= max_port, "port is too large");
-    address.port = static_cast<std::uint16_t>(port);
+    return static_cast<std::uint16_t>(port);
+}
+
+state::endpoint read_endpoint(element_reader& in)
+{
+    state::endpoint address;
+    address.host = in.text();
+    address.port = read_port(in);
     return address;
 }
 
@@ -339,10 +344,73 @@
     return evacuated;
 }
 
+/// Services and instances of one list of relays; a deployment has fewer.
+constexpr std::size_t max_relay_entries = 1024;
+
+json encode_services(std::set<state::service_id> const& services)
+{
+    auto out = json::array();
+    for (auto const& service : services)
+        out.push_back(service.str());
+    return out;
+}
+
+std::set<state::service_id> read_services(json const& from)
+{
+    require(from.size() <= max_relay_entries, "list is too long");
+    std::set<state::service_id> services;
+    for (auto const& service : from)
+    {
+        require(service.is_string(), "service is not text");
+        services.emplace(service.get<std::string>());
+    }
+    return services;
+}
+
+json encode_relays(state::relay_peers const& relays)
+{
+    auto out = json::array();
+    for (auto const& [service, peers] : relays)
+    {
+        auto encoded = json::array();
+        for (auto const& peer : peers)
+            encoded.push_back(
+                {peer.id.str(), peer.incarnation.count(), peer.failure_domain.str(),
+                 peer.address.host, peer.address.port});
+        out.push_back(json::array({service.str(), std::move(encoded)}));
+    }
+    return out;
+}
+
+state::relay_peers read_relays(json const& from)
+{
+    require(from.size() <= max_relay_entries, "list is too long");
+    state::relay_peers relays;
+    for (auto const& of_service : from)
+    {
+        element_reader in(of_service);
+        auto& peers = relays[state::service_id{in.text()}];
+        auto const& encoded = in.array();
+        require(encoded.size() <= max_relay_entries, "list is too long");
+        for (auto const& e : encoded)
+        {
+            element_reader fields(e);
+            state::relay_peer peer;
+            peer.id = state::instance_id{fields.text()};
+            peer.incarnation = state::incarnation_number{fields.unsigned_integer()};
+            peer.failure_domain = state::failure_domain_id{fields.text()};
+            peer.address = read_endpoint(fields);
+            peers.push_back(std::move(peer));
+        }
+    }
+    return relays;
+}
+
 /// Whether a response has elements that follow the traffic shares.
 bool has_placement(state::report_response const& response)
 {
-    return response.rank != state::instance_rank{} || response.evacuated || response.ratings;
+    return response.rank != state::instance_rank{} || response.evacuated || response.ratings ||
+           !response.relays.empty();
 }
 
 } // namespace
@@ -372,10 +440,17 @@
     out.push_back(encode_observations(report.segments));
     out.push_back(report.acknowledged.reported_through.count());
     out.push_back(report.acknowledged.configuration.count());
-    if (report.observations.empty() && report.ratings == state::rating_version{})
+    bool const has_relaying = report.relay_port != 0 || !report.unreachable.empty();
+    bool const has_ratings =
+        !report.observations.empty() || report.ratings != state::rating_version{};
+    if (!has_ratings && !has_relaying)
         return;
     out.push_back(report.ratings.count());
     out.push_back(encode_server_observations(report.observations));
+    if (!has_relaying)
+        return;
+    out.push_back(report.relay_port);
+    out.push_back(encode_services(report.unreachable));
 }
 
 state::instance_report read_report(element_reader& in)
@@ -409,6 +484,11 @@
         return report;
     report.ratings = state::rating_version{in.unsigned_integer()};
     report.observations = read_server_observations(in.array());
+    // Instances of the version before end here.
+    if (in.at_end())
+        return report;
+    report.relay_port = read_port(in);
+    report.unreachable = read_services(in.array());
     return report;
 }
 
@@ -439,6 +519,8 @@
     out.push_back(response.rank.count);
     out.push_back(encode_evacuations(response.evacuated));
     out.push_back(encode_ratings(response.ratings));
+    if (!response.relays.empty())
+        out.push_back(encode_relays(response.relays));
 }
 
 state::report_response read_report_response(element_reader& in)
@@ -469,6 +551,8 @@
     response.rank.count = in.unsigned_integer();
     response.evacuated = read_evacuations(in.array());
     response.ratings = read_ratings(in.array());
+    if (!in.at_end())
+        response.relays = read_relays(in.array());
     return response;
 }
 
--- a/src/protocol/problem.cpp
+++ b/src/protocol/problem.cpp
@@ -30,6 +30,8 @@
         return 400;
     case r::unauthorised:
         return 401;
+    case r::relay_unauthorised:
+        return 403;
     case r::unknown_service:
     case r::unknown_operation:
     case r::unknown_request:
@@ -71,6 +73,7 @@
     case r::backends_closed:
     case r::connections_exhausted:
     case r::no_permitted_backend:
+    case r::relay_unavailable:
     case r::count_:
         break;
     }
--- a/src/state/instance_report.hpp
+++ b/src/state/instance_report.hpp
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 
 namespace auburnweir::state
 {
@@ -63,6 +64,9 @@
     acknowledged_state acknowledged;
     rating_version ratings; ///< last rating update applied from `directory_holder`; 0: none
     server_observations observations;
+    /// Port of `peer_address`'s host for requests to be relayed; 0: this instance relays none.
+    std::uint16_t relay_port = 0;
+    std::set<service_id> unreachable; ///< services of which it reaches no server
 
     friend bool operator==(instance_report const&, instance_report const&) = default;
 };
--- a/src/state/lock_rank.hpp
+++ b/src/state/lock_rank.hpp
@@ -17,6 +17,8 @@
     admission = 20,
     subset_cache = 25,
     placement_activation = 27,
+    service_reach = 28,
+    relay_table = 29,
     backend_table = 30,
     server_ratings = 32,
     rollouts = 33,
--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -43,6 +43,8 @@
         "backends_closed",
         "connections_exhausted",
         "no_permitted_backend",
+        "relay_unauthorised",
+        "relay_unavailable",
     };
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(retry_reason::count_)>
@@ -57,6 +59,7 @@
         "not_run_by_backend",
         "other_backend_at_address",
         "response_memory_exhausted",
+        "relay_refused",
     };
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(give_up_reason::count_)>
@@ -126,6 +129,11 @@
         "requests_placed_in_subset",
         "requests_left_lane",
         "backend_cold_times_changed",
+        "services_lost",
+        "services_regained",
+        "reach_probes",
+        "attempts_relayed",
+        "attempts_relayed_for_others",
     };
 
 } // namespace
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -44,6 +44,8 @@
     backends_closed,
     connections_exhausted,
     no_permitted_backend,
+    relay_unauthorised,
+    relay_unavailable,
     count_
 };
 
@@ -60,6 +62,7 @@
     not_run_by_backend,
     other_backend_at_address,
     response_memory_exhausted,
+    relay_refused,
     count_
 };
 
@@ -136,6 +139,11 @@
     requests_placed_in_subset,
     requests_left_lane,         ///< their lane had no server
     backend_cold_times_changed, ///< by answers, from warm to cold or the reverse
+    services_lost,              ///< of which no server accepted a connection any more
+    services_regained,
+    reach_probes,                ///< connections that were tried to find that out
+    attempts_relayed,            ///< by other instances, as this one did not reach the service
+    attempts_relayed_for_others, ///< to servers, as another instance did not reach them
     count_
 };
 
--- a/src/state/report_response.hpp
+++ b/src/state/report_response.hpp
@@ -4,6 +4,7 @@
 #include "state/evacuation.hpp"
 #include "state/instance_rank.hpp"
 #include "state/instance_report.hpp"
+#include "state/relay_peer.hpp"
 #include "state/store_position.hpp"
 #include "state/traffic_shares.hpp"
 
@@ -39,6 +40,7 @@
     instance_rank rank;                   ///< of the instance that reported
     std::optional<evacuations> evacuated; ///< null until the holder has read the operator rows
     std::optional<rating_update> ratings; ///< null when there are none to send
+    relay_peers relays; ///< for the services that the reporting instance does not reach
 
     friend bool operator==(report_response const&, report_response const&) = default;
 };
--- a/src/transport/answer_stream.cpp
+++ b/src/transport/answer_stream.cpp
@@ -89,7 +89,7 @@
         }
         auto events =
             protocol::encode_chat_events(journal->request().header.id, *chunk, journal->lineage());
-        bool const sent = has_started && co_await call.writer.send_chunk(std::move(events));
+        bool const sent = has_started && co_await call.writer.send_part(std::move(events));
         if (!sent)
         {
             counters.increment(state::event_counter::callers_left);
--- a/src/transport/attempt_recorder.cpp
+++ b/src/transport/attempt_recorder.cpp
@@ -34,6 +34,20 @@
         state::window_number{static_cast<std::int64_t>(window)}, organisation->id);
 }
 
+void attempt_recorder::record_contact(state::server_view const& server, bool is_new_connection)
+{
+    context_.tables.reach.record_contact(
+        server.listed.service, server.listed.id, is_new_connection, now());
+}
+
+void attempt_recorder::record_link_failure(
+    state::server_view const& server, coordination::link_failure failure)
+{
+    auto const servers = context_.tables.servers.all(server.listed.service).size();
+    context_.tables.reach.record_failure(
+        server.listed.service, server.listed.id, failure, servers, now());
+}
+
 void attempt_recorder::record_end(state::server_view const& server, state::server_outcome outcome)
 {
     auto& servers = context_.tables.servers;
--- a/src/transport/attempt_recorder.hpp
+++ b/src/transport/attempt_recorder.hpp
@@ -22,6 +22,13 @@
     /// @param organisation  null: none is charged
     void record_start(state::organisation_quota const* organisation);
 
+    /// Records a response of the server.
+    /// @param is_new_connection  the response is the first one on its connection
+    void record_contact(state::server_view const& server, bool is_new_connection);
+
+    /// Records that the link to the server may be cut.
+    void record_link_failure(state::server_view const& server, coordination::link_failure failure);
+
     /// Records the end of an attempt for the server's health.
     void record_end(state::server_view const& server, state::server_outcome outcome);
 
--- a/src/transport/connection_keeper.cpp
+++ b/src/transport/connection_keeper.cpp
@@ -50,7 +50,8 @@
 {
     auto& idle = of.http().idle();
     auto const& settings = context_.settings;
-    auto const addresses = context_.tables.servers.addresses();
+    auto addresses = context_.tables.servers.addresses();
+    addresses.merge(context_.tables.relays.addresses());
     idle.close_useless(
         [&](state::endpoint const& to)
         { return addresses.contains(to) || to == settings.store || to == settings.fleet; });
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "transport/forwarder.hpp"
 
+#include "protocol/relay_head.hpp"
 #include "state/overloaded.hpp"
 #include "transport/async_signal.hpp"
 #include "transport/request_log.hpp"
@@ -40,6 +41,13 @@
 constexpr state::duration min_poll_period = std::chrono::milliseconds{5};
 constexpr state::duration max_poll_period = std::chrono::milliseconds{200};
 
+/// Whether a peer's response is the server's. If not, the peer has sent nothing to the server.
+bool is_relayed(http_stream const& response)
+{
+    auto const& name = protocol::relayed_header;
+    return response.headers().count({name.data(), name.size()}) > 0;
+}
+
 std::string seconds_with_fraction(state::duration d)
 {
     auto const ms = std::chrono::ceil<std::chrono::milliseconds>(d).count();
@@ -269,8 +277,75 @@
     return own;
 }
 
+bool forwarder::choose_path()
+{
+    via_.reset();
+    auto& tables = context_.tables;
+    if (!tables.reach.is_unreachable(service_))
+        return true;
+    auto peer = tables.relays.choose(service_, now(), worker_.random());
+    if (!peer)
+        return false;
+    via_.emplace(tables.relays, std::move(*peer));
+    tables.counters.increment(state::event_counter::attempts_relayed);
+    return true;
+}
+
+void forwarder::add_relay_head(http_request& call, state::server_view const& server) const
+{
+    protocol::relay_head head;
+    head.from = context_.settings.id;
+    head.server = server.listed.id;
+    head.at_most_once = route_->retry == state::retry_rule::at_most_once;
+    head.fingerprint = forwarded_.fingerprint;
+    protocol::relayed_message const message{call.method, call.target,     forwarded_.id.str(),
+                                            call.body,   via_->peer().id, via_->peer().incarnation};
+    call.headers.emplace_back(
+        protocol::relay_header,
+        protocol::encode_relay_head(head, message, context_.settings.peer_key));
+}
+
+void forwarder::record_end(state::server_view const& server, state::server_outcome outcome)
+{
+    // A failure of a relayed attempt may be the peer's, which records the server's health.
+    bool const is_of_server =
+        !via_ || outcome == server_outcome::answered || outcome == server_outcome::refused;
+    recorder_.record_end(server, is_of_server ? outcome : server_outcome::abandoned);
+}
+
+void forwarder::record_link_failure(
+    state::server_view const& server, coordination::link_failure failure)
+{
+    if (!via_)
+        recorder_.record_link_failure(server, failure);
+}
+
+void forwarder::record_loss(state::server_view const& server)
+{
+    if (!via_)
+        record_loss(server);
+}
+
+net::awaitable<void> forwarder::handle_refused_relay(state::server_view const& server)
+{
+    via_->record_refusal(now());
+    record_end(server, server_outcome::abandoned);
+    selector_->release(server.listed.id);
+    attempt_not_run const failed{retry_reason::relay_refused};
+    co_await handle_failed_attempt(server, failed);
+}
+
 net::awaitable<void> forwarder::run_attempt(state::server_view const& server)
 {
+    if (!choose_path())
+    {
+        record_end(server, server_outcome::abandoned);
+        if (progress_.possibly_executed > 0)
+            co_await finish_with_unknown_outcome(refusal_reason::backend_failed);
+        else
+            co_await finish_not_run(refusal_reason::no_backend);
+        co_return;
+    }
     http_request call;
     auto const method = request_.method_string();
     auto const target = request_.target();
@@ -278,6 +353,12 @@
     call.target = std::string{target.data(), target.size()};
     call.headers = context_.ports.dialect.encode(request_, forwarded_, gateway_headers_for(server));
     call.body = request_.body();
+    auto to = server.listed.address;
+    if (via_)
+    {
+        to = via_->peer().address;
+        add_relay_head(call, server);
+    }
 
     call_policy policy;
     policy.header_timeout = time_left();
@@ -291,13 +372,20 @@
     if (coordination::needs_own_connection(server.unnamed_refusal_at, now()))
         policy.use = connection_use::new_connection;
     policy.used_connection = &trace_.connection;
-    policy.owner_of = [&filter](int status, http_fields const& headers)
-    { return filter.owner_of(status, headers); };
+    policy.owner_of = [&](int status, http_fields const& headers)
+    {
+        // A peer has matched the server's response, and its own names no request.
+        if (via_)
+            return response_owner::this_call;
+        return filter.owner_of(status, headers);
+    };
+    policy.on_unacknowledged = [this, &server]
+    { record_link_failure(server, coordination::link_failure::lost); };
 
     relay_->begin_attempt();
     ++progress_.attempts;
     context_.tables.counters.increment(state::event_counter::backend_attempts);
-    auto opened = co_await worker_.http().open(server.listed.address, std::move(call), policy);
+    auto opened = co_await worker_.http().open(to, std::move(call), policy);
     if (opened)
     {
         co_await handle_response(server, std::move(opened.value()));
@@ -305,12 +393,19 @@
     }
     if (cancel_->cancelled())
     {
-        recorder_.record_end(server, server_outcome::abandoned);
+        record_end(server, server_outcome::abandoned);
         co_return;
     }
-    if (opened.error() == http_error::connect_failed)
+    bool const is_unsent = opened.error() == http_error::connect_failed;
+    if (is_unsent && via_)
     {
-        recorder_.record_end(server, server_outcome::unreachable);
+        co_await handle_refused_relay(server);
+        co_return;
+    }
+    if (is_unsent)
+    {
+        record_end(server, server_outcome::unreachable);
+        record_link_failure(server, coordination::link_failure::connect_failed);
         recorder_.record_unreachable(server);
         attempt_not_run const failed{retry_reason::connect_failed};
         co_await handle_failed_attempt(server, failed);
@@ -318,9 +413,12 @@
     }
     ++progress_.possibly_executed;
     bool const timed_out = opened.error() == http_error::timed_out;
-    recorder_.record_end(server, timed_out ? server_outcome::unreachable : server_outcome::failed);
+    record_end(server, timed_out ? server_outcome::unreachable : server_outcome::failed);
     if (!timed_out)
-        recorder_.record_loss(server, forwarded_);
+    {
+        record_link_failure(server, coordination::link_failure::lost);
+        record_loss(server);
+    }
     if (!route_->streaming)
         recorder_.record_start(organisation_);
     co_await handle_failed_attempt(server, attempt_lost{timed_out});
@@ -329,14 +427,23 @@
 net::awaitable<void> forwarder::handle_response(
     state::server_view const& server, http_stream response)
 {
+    if (via_ && !is_relayed(response))
+    {
+        co_await response.discard_rest();
+        co_await handle_refused_relay(server);
+        co_return;
+    }
     auto const status = response.status();
+    trace_.status = status;
     auto const backend_values = context_.ports.dialect.decode_response(status, response.headers());
+    if (!via_)
+        recorder_.record_contact(server, trace_.connection.requests == 1);
     recorder_.record_statements(server, backend_values);
     if (backend_values.not_run)
     {
         response.record_refusal(forwarded_.id);
         co_await response.discard_rest();
-        recorder_.record_end(server, server_outcome::refused);
+        record_end(server, server_outcome::refused);
         bool const misdirected = status == status_misdirected;
         co_await handle_failed_attempt(
             server, attempt_not_run{
@@ -350,7 +457,7 @@
                         (progress_.response_begun && !continues_stream(response));
     if (failed)
     {
-        recorder_.record_end(server, server_outcome::failed);
+        record_end(server, server_outcome::failed);
         if (!co_await relays_failure(server, response))
             co_return;
     }
@@ -370,7 +477,7 @@
         resume_after_ = relay_->last_event_id();
     if (!failed)
     {
-        recorder_.record_end(server, outcome_of(result));
+        record_end(server, outcome_of(result));
         record_segments(server, status, result);
     }
     switch (result)
@@ -436,7 +543,9 @@
     auto decision = coordination::decide_attempt(failed, progress_, true);
     if (auto const* retry_decision = std::get_if<coordination::retry_elsewhere>(&decision))
     {
-        if (context_.tables.retry_budget.try_acquire(service_, now()))
+        // The budget limits what arrives at servers; such an attempt was not sent.
+        bool const is_free = retry_decision->cause == retry_reason::relay_refused;
+        if (is_free || context_.tables.retry_budget.try_acquire(service_, now()))
         {
             context_.tables.counters.increment(retry_decision->cause);
             log_attempt(server, name_of(retry_decision->cause), "send_again");
@@ -538,7 +647,8 @@
     state::server_view const& server, std::string_view cause, std::string_view next)
 {
     log_failed_attempt(
-        logged(), {server.listed.id, cause, next, relay_->first_event_at(), time_left(), trace_});
+        logged(), {server.listed.id, cause, next, via_ ? via_->peer().id : state::instance_id{},
+                   relay_->first_event_at(), time_left(), trace_});
 }
 
 } // namespace auburnweir::transport
--- a/src/transport/gateway_connection.cpp
+++ b/src/transport/gateway_connection.cpp
@@ -1,5 +1,7 @@
 #include "transport/gateway_connection.hpp"
 
+#include "state/overloaded.hpp"
+#include "transport/relay_handler.hpp"
 #include "transport/request_error.hpp"
 
 namespace auburnweir::transport
@@ -17,6 +19,9 @@
 
 constexpr std::size_t max_lingering_bytes = 8 * 1024 * 1024;
 
+/// Bytes by which the header of a relayed request may exceed that of its caller.
+constexpr std::size_t relay_header_bytes = 4UL * 1024;
+
 /// Received bytes beyond a request's header that are buffered before they are parsed.
 constexpr std::size_t read_ahead_bytes = 64UL * 1024;
 
@@ -45,9 +50,10 @@
 } // namespace
 
 gateway_connection::gateway_connection(
-    gateway_context& context, worker& assigned_worker, tcp::socket socket)
+    gateway_context& context, worker& assigned_worker, tcp::socket socket, connection_door door)
     : context_(context)
     , worker_(assigned_worker)
+    , door_(door)
     , open_(context.callers.open.begin())
     , is_surplus_(static_cast<std::size_t>(context.callers.open.value()) > context.callers.max)
     , stream_(std::move(socket))
@@ -68,6 +74,13 @@
     return routes ? routes->limits() : state::caller_limits{};
 }
 
+std::size_t gateway_connection::max_header_bytes() const
+{
+    auto const of_callers = static_cast<std::size_t>(limits().header.count());
+    bool const is_relayed = std::holds_alternative<relay_door>(door_);
+    return of_callers + (is_relayed ? relay_header_bytes : 0);
+}
+
 net::awaitable<void> gateway_connection::run()
 {
     bool open = true;
@@ -110,9 +123,10 @@
     auto const active = context_.activity.begin();
     auto const caller_limits = limits();
     request_parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(caller_limits.header.count()));
+    auto const header_bytes = max_header_bytes();
+    parser.header_limit(static_cast<std::uint32_t>(header_bytes));
     parser.body_limit(static_cast<std::uint64_t>(caller_limits.body.count()));
-    buffer_.max_size(static_cast<std::size_t>(caller_limits.header.count()) + read_ahead_bytes);
+    buffer_.max_size(header_bytes + read_ahead_bytes);
     read_timeout_.begin(caller_limits.header_timeout);
     error_code error;
     co_await http::async_read_header(stream_, buffer_, parser, redirect_error_to(error));
@@ -146,13 +160,32 @@
         co_return false;
     }
     writer_.keep_alive(parser.get().keep_alive() && context_.phase == stop_phase::running);
-    forwarder request(context_, worker_, stream_, writer_, parser.release(), arrived_at);
-    co_await request.run();
+    auto request = parser.release();
+    auto handled = std::visit(
+        state::overloaded{
+            [&](caller_door const&) { return forward(std::move(request), arrived_at); },
+            [&](relay_door const&) { return relay(std::move(request), arrived_at); }},
+        door_);
+    co_await std::move(handled);
     if (context_.phase != stop_phase::running)
         writer_.keep_alive(false);
     co_return true;
 }
 
+net::awaitable<void> gateway_connection::forward(
+    received_request request, state::time_point arrived_at)
+{
+    forwarder forwarded(context_, worker_, stream_, writer_, std::move(request), arrived_at);
+    co_await forwarded.run();
+}
+
+net::awaitable<void> gateway_connection::relay(
+    received_request request, state::time_point arrived_at)
+{
+    relay_handler relayed(context_, worker_, stream_, writer_, std::move(request), arrived_at);
+    co_await relayed.run();
+}
+
 state::byte_count gateway_connection::buffered_body_size(request_parser const& parser) const
 {
     if (parser.is_done())
--- a/src/transport/gateway_context.hpp
+++ b/src/transport/gateway_context.hpp
@@ -47,6 +47,7 @@
     std::atomic<stop_phase>& phase;
     activity_count& activity; ///< requests in progress
     caller_connections& callers;
+    activity_count& relayed; ///< requests in progress that this instance relays for others
 };
 
 } // namespace auburnweir::transport
--- a/src/transport/gateway_server.cpp
+++ b/src/transport/gateway_server.cpp
@@ -9,6 +9,7 @@
 #include "transport/gateway_connection.hpp"
 #include "transport/log.hpp"
 #include "transport/peer_exchange.hpp"
+#include "transport/reach_prober.hpp"
 #include "transport/status_server.hpp"
 #include "transport/store_watch.hpp"
 
@@ -66,7 +67,8 @@
                   {*ports.dialect, *ports.format, *ports.store, *ports.fleet},
                   phase,
                   activity,
-                  caller_connections_in_use}
+                  caller_connections_in_use,
+                  relayed}
         , links(
               settings.id, settings.peer_key,
               [this](auto const&, auto via, protocol::peer_message m)
@@ -75,14 +77,20 @@
         , peers(context, links, directory)
         , duties(context, peers)
         , connections(context)
+        , prober(context)
         , watch(context, directory, peers)
         , callers(
               workers,
               [this](worker& assigned_worker, tcp::socket socket)
               {
-                  std::make_shared<gateway_connection>(context, assigned_worker, std::move(socket))->start();
+                  accept(assigned_worker, std::move(socket), caller_door{});
               },
               [this] { connections.release_descriptors(); })
+        , relay_requests(
+              workers,
+              [this](worker& assigned_worker, tcp::socket socket)
+              { accept(assigned_worker, std::move(socket), relay_door{}); },
+              [this] { connections.release_descriptors(); })
         , readiness(workers, {{settings.ready_path, [this] { return readiness_response(); }}})
         , metrics(
               workers, {{"/metrics", [this] { return metrics_response(); }},
@@ -91,6 +99,12 @@
     {
     }
 
+    void accept(worker& assigned_worker, tcp::socket socket, connection_door door)
+    {
+        std::make_shared<gateway_connection>(context, assigned_worker, std::move(socket), door)
+            ->start();
+    }
+
     bool is_ready() const;
     caller_response readiness_response();
     caller_response metrics_response() const;
@@ -105,6 +119,7 @@
     gateway_tables tables;
     std::atomic<stop_phase> phase{stop_phase::running};
     activity_count activity;
+    activity_count relayed;
     caller_connections caller_connections_in_use{{}, own_descriptor_shares().callers};
     worker_pool workers;
     timer_service timers;
@@ -116,8 +131,10 @@
     peer_exchange peers;
     duty_runner duties;
     connection_keeper connections;
+    reach_prober prober;
     store_watch watch;
     caller_listener callers;
+    caller_listener relay_requests;
     status_server readiness;
     status_server metrics;
     net::signal_set signals;
@@ -191,6 +208,10 @@
     protocol::append_gauge(reply.body, "cold_servers_owned", static_cast<double>(cold.owned));
     protocol::append_gauge(
         reply.body, "cold_requests_sent", static_cast<double>(cold.requests_sent));
+    protocol::append_gauge(
+        reply.body, "unreachable_services", static_cast<double>(tables.reach.unreachable().size()));
+    protocol::append_gauge(
+        reply.body, "relayed_requests_in_progress", static_cast<double>(relayed.value()));
     protocol::append_gauge(
         reply.body, "log_lines_dropped", static_cast<double>(log_lines_dropped()));
     if (auto const routes = tables.routes.current())
@@ -215,6 +236,8 @@
     status.routes_age = tables.routes.age(status.now);
     status.instances = tables.instance_reports.all();
     status.servers = tables.servers.snapshot();
+    status.unreachable = tables.reach.unreachable();
+    status.relays = tables.relays.peers();
     status.quarantined_segments = tables.segment_quarantine.verdicts(status.now);
     caller_response reply;
     reply.body = protocol::encode_status(status);
@@ -263,6 +286,7 @@
     co_await sleep_for(io, std::min(readiness_propagation_time, settings.stop_grace - kill_margin));
     phase = stop_phase::refusing;
     callers.close();
+    relay_requests.close();
     auto active_at = now();
     while (now() < until && now() - active_at < quiet_period)
     {
@@ -295,6 +319,11 @@
     return components_->metrics_port;
 }
 
+std::uint16_t gateway_server::relay_port() const
+{
+    return components_->settings.relay_listen.port;
+}
+
 std::uint16_t gateway_server::peer_port() const
 {
     return components_->peer_port;
@@ -309,8 +338,10 @@
     p.peers.start();
     p.duties.start();
     p.connections.start();
+    p.prober.start();
     p.watch.start();
     p.callers.start();
+    p.relay_requests.start();
     p.readiness.start();
     p.metrics.start();
     log(log_event::gateway_started, {{"instance", p.settings.id.str()},
@@ -358,7 +389,10 @@
     p->metrics_port = p->metrics.listen(settings_.metrics_listen);
     p->peer_port = p->links.listen(settings_.peer_listen);
     p->settings.peer_listen.port = p->peer_port;
-    if (p->caller_port == 0 || p->ready_port == 0 || p->metrics_port == 0 || p->peer_port == 0)
+    p->settings.relay_listen.port = p->relay_requests.listen(p->settings.relay_listen);
+    bool const is_listening = p->caller_port != 0 && p->ready_port != 0 && p->metrics_port != 0 &&
+                              p->peer_port != 0 && p->settings.relay_listen.port != 0;
+    if (!is_listening)
     {
         error = "cannot listen on one of the configured addresses";
         return nullptr;
--- a/src/transport/gateway_server.hpp
+++ b/src/transport/gateway_server.hpp
@@ -34,6 +34,7 @@
     std::uint16_t ready_port() const;
     std::uint16_t metrics_port() const;
     std::uint16_t peer_port() const;
+    std::uint16_t relay_port() const;
 
     /// Serves until SIGTERM or SIGINT, then drains the requests in progress.
     void run();
--- a/src/transport/gateway_tables.hpp
+++ b/src/transport/gateway_tables.hpp
@@ -2,10 +2,12 @@
 #define AUBURNWEIR_TRANSPORT_GATEWAY_TABLES_HPP
 
 #include "coordination/placement_activation.hpp"
+#include "coordination/relay_table.hpp"
 #include "coordination/request_shares.hpp"
 #include "coordination/retry_budget.hpp"
 #include "coordination/segment_quarantine.hpp"
 #include "coordination/server_rating_table.hpp"
+#include "coordination/service_reach.hpp"
 #include "coordination/shared_quota.hpp"
 #include "protocol/gateway_settings.hpp"
 #include "state/acknowledged_state.hpp"
@@ -30,7 +32,8 @@
 struct gateway_tables
 {
     explicit gateway_tables(protocol::gateway_settings const& settings)
-        : placements(coordination::placement_setting_named(settings.placement))
+        : relays(settings.failure_domain)
+        , placements(coordination::placement_setting_named(settings.placement))
         , quotas(granted_quota_share)
         , retry_budget(retry_limits_for(settings))
         , segment_quarantine(quarantine_settings_for(settings))
@@ -78,6 +81,8 @@
     state::store_eras store_eras;
     state::acknowledged_state_table acknowledged;
     state::route_table routes;
+    coordination::service_reach reach;
+    coordination::relay_table relays;
     state::server_table servers;
     state::evacuation_table evacuations{servers};
     state::server_observation_table server_observations;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -33,6 +33,10 @@
     return timed_out ? http_error::timed_out : http_error::response_lost;
 }
 
+/// Hosts acknowledge what they receive within a round trip, also while the server is silent; this
+/// is longer than one between regions with a packet lost.
+constexpr state::duration max_acknowledgement_time = std::chrono::milliseconds{500};
+
 /// Share of the idle time that the server announces in which a connection is still used.
 constexpr double usable_idle_share = 0.5;
 
@@ -343,6 +347,30 @@
         });
 }
 
+struct http_client::acknowledgement_watch
+{
+    net::steady_timer timer;
+    std::function<void()> on_unacknowledged;
+};
+
+std::shared_ptr<http_client::acknowledgement_watch> http_client::watch_acknowledgement(
+    http_connection_ptr const& c, std::function<void()> on_unacknowledged)
+{
+    if (!on_unacknowledged)
+        return nullptr;
+    auto const watch = std::make_shared<acknowledgement_watch>(acknowledgement_watch{
+        net::steady_timer(io_, max_acknowledgement_time), std::move(on_unacknowledged)});
+    watch->timer.async_wait(
+        [watched = std::weak_ptr(watch), connection = std::weak_ptr(c)](error_code error)
+        {
+            auto const w = watched.lock();
+            auto const open = connection.lock();
+            if (!error && w && open && open->has_undelivered_bytes())
+                w->on_unacknowledged();
+        });
+    return watch;
+}
+
 net::awaitable<http_result<response_owner>> http_client::read_header(
     http_stream::state& s, call_policy const& policy, state::time_point deadline)
 {
@@ -443,6 +471,7 @@
     if (policy.used_connection)
         *policy.used_connection = {c->local_port(), c->requests};
     start_write(c, std::move(message));
+    auto const acknowledgement = watch_acknowledgement(c, policy.on_unacknowledged);
     for (int dropped = 0; dropped <= max_dropped_responses; ++dropped)
     {
         auto s = std::make_unique<http_stream::state>(*this, c);
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -126,6 +126,10 @@
 
     std::shared_ptr<call_cancellation> cancel;
 
+    /// Told once when the server's host has not acknowledged the request for some time, so that
+    /// the link may be cut; the call goes on. Empty: not wanted.
+    std::function<void()> on_unacknowledged;
+
     /// Set before the request is written; null: not wanted.
     call_connection* used_connection = nullptr;
 };
@@ -227,6 +231,13 @@
         auburnweir::state::endpoint to, auburnweir::state::duration timeout);
     void start_write(http_connection_ptr c, http::request<http::string_body> request);
 
+    struct acknowledgement_watch;
+
+    /// Checks once whether the request on a connection is acknowledged, unless the watch is
+    /// destroyed before.
+    std::shared_ptr<acknowledgement_watch> watch_acknowledgement(
+        http_connection_ptr const& c, std::function<void()> on_unacknowledged);
+
     /// Reads a response header.
     /// @return `earlier_call` also after an interim response; both were read and dropped
     net::awaitable<http_result<response_owner>> read_header(
--- a/src/transport/http_connection.hpp
+++ b/src/transport/http_connection.hpp
@@ -38,6 +38,14 @@
         return !is_idle;
     }
 
+    /// Whether bytes were written that the server's host has not acknowledged.
+    bool has_undelivered_bytes()
+    {
+        int bytes = 0;
+        return !stream.socket().is_open() ||
+               ::ioctl(stream.socket().native_handle(), SIOCOUTQ, &bytes) != 0 || bytes != 0;
+    }
+
     /// After an end of file: whether the server closed its side in an orderly way, after all bytes
     /// of the request had arrived.
     ///
@@ -50,8 +58,7 @@
         if (write_pending)
             return false;
         auto const socket = stream.socket().native_handle();
-        int undelivered_bytes = 0;
-        if (::ioctl(socket, SIOCOUTQ, &undelivered_bytes) != 0 || undelivered_bytes != 0)
+        if (has_undelivered_bytes())
             return false;
         tcp_info info{};
         socklen_t size = sizeof info;
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -119,6 +119,13 @@
          "a backend server no longer names a limit"},
         {e::backend_refuses, l::info, "backend_refuses",
          "a backend server turned a request away and wants nothing from this instance for a time"},
+        {e::service_unreachable, l::warning, "service_unreachable",
+         "no server of a service accepts a connection from this instance; its requests are relayed "
+         "by other instances that reach the service"},
+        {e::service_reachable, l::info, "service_reachable",
+         "a server of a service accepts connections again; requests are sent directly"},
+        {e::relay_refused, l::info, "relay_refused",
+         "a request of another instance is not relayed from here; nothing was sent"},
         {e::domain_evacuated, l::warning, "domain_evacuated",
          "operators evacuate a failure domain: its servers get no more requests from this "
          "instance; "
--- a/src/transport/request_dialect.hpp
+++ b/src/transport/request_dialect.hpp
@@ -53,6 +53,9 @@
         http_fields const& from_caller, state::forwarded_request const& request,
         gateway_headers const& own) const = 0;
 
+    /// The headers of a request that another instance has encoded and this one relays.
+    virtual http_headers pass_on(http_fields const& relayed) const = 0;
+
     virtual backend_headers decode_response(int status, http_fields const& headers) const = 0;
 
     /// Encodes the headers for the caller: the backend server's without those of the connection.
--- a/src/transport/request_log.cpp
+++ b/src/transport/request_log.cpp
@@ -99,6 +99,7 @@
          {"send", std::to_string(request.sends)},
          {"cause", std::string{attempt.cause}},
          {"next", std::string{attempt.next}},
+         {"relay", attempt.relay.str()},
          {"connection", std::to_string(attempt.trace.connection.local_port)},
          {"connection_request", std::to_string(attempt.trace.connection.requests)},
          {"status", std::to_string(attempt.trace.status)},
@@ -134,6 +135,16 @@
                                        {"after_ms", after_text(request)}});
 }
 
+void log_relay_refused(
+    state::forwarded_request const& request, state::instance_id const& from,
+    protocol::problem const& refusal)
+{
+    log(log_event::relay_refused, {{"request", request.id.str()},
+                                   {"from", from.str()},
+                                   {"reason", std::string{name_of(refusal.reason)}},
+                                   {"detail", refusal.detail}});
+}
+
 void log_caller_left(logged_request const& request)
 {
     log(log_event::caller_left, {{"request", request.request.id.str()},
--- a/src/transport/request_log.hpp
+++ b/src/transport/request_log.hpp
@@ -48,6 +48,7 @@
     state::backend_id backend;
     std::string_view cause;
     std::string_view next;
+    state::instance_id relay; ///< that was asked to relay the attempt; empty: none
     std::optional<state::time_point> first_event_at;
     state::duration time_left{0};
     attempt_trace trace;
@@ -72,6 +73,11 @@
 void log_broken_off(
     logged_request const& request, state::refusal_reason reason, std::string const& last_event);
 
+/// Logs that a request of another instance is not relayed.
+void log_relay_refused(
+    state::forwarded_request const& request, state::instance_id const& from,
+    protocol::problem const& refusal);
+
 void log_caller_left(logged_request const& request);
 
 } // namespace auburnweir::transport
--- a/src/transport/response_relay.cpp
+++ b/src/transport/response_relay.cpp
@@ -263,7 +263,7 @@
         if (starts && !co_await begin(response))
             co_return relay_result::caller_left;
         auto const sending_since = now();
-        if (!ready.empty() && !co_await writer_.send_chunk(std::move(ready)))
+        if (!ready.empty() && !co_await writer_.send_part(std::move(ready)))
             co_return relay_result::caller_left;
         if (now() - sending_since > max_undelayed_write)
         {
--- a/src/transport/response_writer.cpp
+++ b/src/transport/response_writer.cpp
@@ -1,5 +1,7 @@
 #include "transport/response_writer.hpp"
 
+#include "state/overloaded.hpp"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -64,11 +66,18 @@
     co_return !error;
 }
 
-net::awaitable<bool> response_writer::begin(caller_response header)
+net::awaitable<bool> response_writer::begin(caller_response header, response_framing framing)
 {
+    framing_ = framing;
+    if (std::holds_alternative<unframed_body>(framing))
+        keep_alive_ = false;
     http::response<http::empty_body> response;
     set_header(response, header, keep_alive_);
-    response.chunked(true);
+    std::visit(
+        state::overloaded{
+            [&](chunked_body) { response.chunked(true); },
+            [&](sized_body body) { response.content_length(body.length); }, [](unframed_body) {}},
+        framing);
     http::response_serializer<http::empty_body> serializer(response);
     io_timeout_.begin(timeout_);
     error_code error;
@@ -77,7 +86,10 @@
     co_return !error;
 }
 
-net::awaitable<bool> response_writer::send_chunk(std::string data)
+namespace
+{
+
+std::string chunk_of(std::string const& data)
 {
     constexpr std::string_view line_end = "\r\n";
     std::string chunk;
@@ -85,6 +97,16 @@
     std::array<char, max_chunk_framing_bytes> size{};
     auto const end = std::to_chars(size.begin(), size.end(), data.size(), 16).ptr;
     chunk.append(size.begin(), end).append(line_end).append(data).append(line_end);
+    return chunk;
+}
+
+} // namespace
+
+net::awaitable<bool> response_writer::send_part(std::string data)
+{
+    std::string chunk = std::move(data);
+    if (std::holds_alternative<chunked_body>(framing_))
+        chunk = chunk_of(chunk);
 
     // Most chunks fit the socket's send buffer, so they are sent without a pass through the event
     // loop.
@@ -105,6 +127,8 @@
 
 net::awaitable<bool> response_writer::end()
 {
+    if (!std::holds_alternative<chunked_body>(framing_))
+        co_return true;
     io_timeout_.begin(timeout_);
     error_code error;
     co_await net::async_write(stream_, http::make_chunk_last(), redirect_error_to(error));
--- a/src/transport/response_writer.hpp
+++ b/src/transport/response_writer.hpp
@@ -6,8 +6,10 @@
 #include "transport/asio.hpp"
 #include "transport/io_timeout.hpp"
 
+#include <cstdint>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 namespace auburnweir::transport
@@ -22,6 +24,24 @@
     std::string body;
 };
 
+/// A body in chunks.
+struct chunked_body
+{
+};
+
+/// A body whose length the header states.
+struct sized_body
+{
+    std::uint64_t length = 0;
+};
+
+/// A body that ends with the connection.
+struct unframed_body
+{
+};
+
+using response_framing = std::variant<chunked_body, sized_body, unframed_body>;
+
 /// Builds the response for a refused request.
 caller_response response_for(protocol::problem const& p);
 
@@ -39,9 +59,9 @@
 
     net::awaitable<bool> send(caller_response whole);
 
-    /// Sends the header of a response of unknown length; `send_chunk` and `end` follow.
-    net::awaitable<bool> begin(caller_response header);
-    net::awaitable<bool> send_chunk(std::string data);
+    /// Sends the header of a response whose body is sent in parts; `send_part` and `end` follow.
+    net::awaitable<bool> begin(caller_response header, response_framing framing = chunked_body{});
+    net::awaitable<bool> send_part(std::string data);
     net::awaitable<bool> end();
 
     /// True when the caller has closed the connection.
@@ -51,6 +71,7 @@
     beast::tcp_stream& stream_;
     state::duration timeout_;
     io_timeout io_timeout_;
+    response_framing framing_;
     bool keep_alive_ = true;
 };
 
--- a/src/transport/server_selector.hpp
+++ b/src/transport/server_selector.hpp
@@ -54,6 +54,9 @@
     /// for all of them.
     server_selection select();
 
+    /// Lets a server be selected again to which nothing was sent.
+    void release(state::backend_id const& id) { choice_.tried_backends.erase(id); }
+
     /// Whether a server is open that the request was not sent to.
     bool has_alternative();
 
--- a/tests/soak/soak_deployment.cpp
+++ b/tests/soak/soak_deployment.cpp
@@ -60,6 +60,7 @@
     plan.backends = size.backends;
     plan.failure_domains = 2;
     plan.proxied = true;
+    plan.may_be_cut = true;
     plan.log_folder = logs;
     plan.organisations = organisations(1);
     plan.settings = {
@@ -239,6 +240,14 @@
     restart(gateway);
 }
 
+void soak_deployment::perform(cut_gateway const& f)
+{
+    using cut_kind = gateway_deployment::cut_kind;
+    record_disruption(f.duration_ms);
+    deployment_.cut_off(f.gateway, f.drops ? cut_kind::dropped : cut_kind::refused);
+    schedule_after(f.duration_ms, [this, f] { deployment_.heal(f.gateway); });
+}
+
 void soak_deployment::perform(disrupt_link const& f)
 {
     auto const route = f.kind == link_kind::gateway_to_store ? deployment_.store_proxy_port(f.index)
--- a/tests/soak/soak_deployment.hpp
+++ b/tests/soak/soak_deployment.hpp
@@ -54,6 +54,7 @@
     void perform(drain_backend const& f);
     void perform(change_key const& f);
     void perform(add_route const& f);
+    void perform(cut_gateway const& f);
 
     /// Sets `faults` now and `no_faults` after `duration_ms`; with null the fault ends by itself.
     void set_temporarily(
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -155,6 +155,28 @@
         plan.begin(), plan.end(), [](auto const& a, auto const& b) { return a.at_ms < b.at_ms; });
 }
 
+/// Adds gateways that are cut off from all backends, with a generator of their own for the same
+/// reason.
+void add_cuts(std::vector<planned_fault>& plan, std::uint64_t seed, soak_size const& size)
+{
+    constexpr double mean_cut_gap_ms = 1500;
+    constexpr int min_cut_ms = 1000;
+    constexpr int max_cut_ms = 7000;
+    std::mt19937_64 random(~seed * 2 + 5);
+    std::exponential_distribution<> gap_ms(1 / mean_cut_gap_ms);
+    std::uniform_int_distribution<> gateway(0, size.gateways - 1);
+    std::uniform_int_distribution<> duration_ms(min_cut_ms, max_cut_ms);
+    std::bernoulli_distribution drops(0.5);
+    double at = start_delay_ms + gap_ms(random);
+    for (; at < size.fault_phase_ms; at += min_gap_ms + gap_ms(random))
+    {
+        cut_gateway const cut{gateway(random), drops(random), duration_ms(random)};
+        plan.push_back({static_cast<int>(at), cut});
+    }
+    std::stable_sort(
+        plan.begin(), plan.end(), [](auto const& a, auto const& b) { return a.at_ms < b.at_ms; });
+}
+
 std::string duration_text(int ms)
 {
     return " for " + std::to_string(ms) + " ms";
@@ -172,6 +194,7 @@
     add_disruptions(plan, ~seed, endless_responses, size);
     add_restores(plan, seed, size);
     add_disruptions(plan, ~seed * 2 + 3, copied_refusals, size);
+    add_cuts(plan, seed, size);
     return plan;
 }
 
@@ -204,7 +227,12 @@
             [](drain_backend const& f)
             { return "drain backend " + std::to_string(f.backend) + duration_text(f.duration_ms); },
             [](change_key const&) { return std::string{"change key"}; },
-            [](add_route const&) { return std::string{"add route"}; }},
+            [](add_route const&) { return std::string{"add route"}; },
+            [](cut_gateway const& f)
+            {
+                return "cut gateway " + std::to_string(f.gateway) + " off from all backends, " +
+                       (f.drops ? "dropped" : "refused") + duration_text(f.duration_ms);
+            }},
         planned.fault);
     return std::to_string(planned.at_ms) + " ms: " + text;
 }
--- a/tests/soak/soak_plan.hpp
+++ b/tests/soak/soak_plan.hpp
@@ -106,6 +106,15 @@
     int duration_ms;
 };
 
+/// Cuts a gateway off from all backends. With `drops` new connections get no answer, else they fail
+/// at once and the open ones of all gateways are reset.
+struct cut_gateway
+{
+    int gateway;
+    bool drops;
+    int duration_ms;
+};
+
 /// Marks a backend as draining in the directory, then lists it as ready with a new incarnation.
 struct drain_backend
 {
@@ -125,7 +134,7 @@
 
 using soak_fault = std::variant<
     kill_gateway, pause_gateway, stop_gateway, disrupt_link, disrupt_store, restore_store,
-    disrupt_backend, drain_backend, change_key, add_route>;
+    disrupt_backend, drain_backend, change_key, add_route, cut_gateway>;
 
 struct planned_fault
 {
--- a/tests/support/gateway_deployment.cpp
+++ b/tests/support/gateway_deployment.cpp
@@ -147,7 +147,8 @@
              << "\n";
     text.close();
     std::filesystem::rename(new_file, cut_file(gateway));
-    if (!proxy_)
+    bool const resets = proxy_ && kind == cut_kind::refused;
+    if (!resets)
         return;
     for (auto const index : backends)
         set_proxy_faults(backend_proxy_ports_.at(index), {{"cut", true}});
--- a/tests/support/gateway_deployment.hpp
+++ b/tests/support/gateway_deployment.hpp
@@ -101,8 +101,9 @@
         dropped  ///< new ones get no answer
     };
 
-    /// Cuts a gateway off from all backends until it is healed. With `proxied` the open
-    /// connections of all gateways to the backends are reset, else they live on.
+    /// Cuts a gateway off from all backends until it is healed. With `proxied`,
+    /// `refused` also resets the open connections of all gateways to the backends; else they live
+    /// on.
     void cut_off(int gateway, cut_kind kind);
     void cut_off(int gateway, cut_kind kind, std::vector<int> const& backends);
     void heal(int gateway);
--- a/tests/unit/directory_sync_test.cpp
+++ b/tests/unit/directory_sync_test.cpp
@@ -80,8 +80,10 @@
     std::atomic<stop_phase> phase{stop_phase::running};
     activity_count activity;
     caller_connections callers;
+    activity_count relayed;
     gateway_context context{settings, state::incarnation_number{1},    tables, workers,  timers,
-                            clock,    {headers, format, store, fleet}, phase,  activity, callers};
+                            clock,    {headers, format, store, fleet}, phase,  activity, callers,
+                            relayed};
     directory_sync directory{context};
     state::time_point start = now();
 };
--- a/tests/unit/server_selector_test.cpp
+++ b/tests/unit/server_selector_test.cpp
@@ -108,8 +108,10 @@
     std::atomic<stop_phase> phase{stop_phase::running};
     activity_count activity;
     caller_connections callers;
+    activity_count relayed;
     gateway_context context{settings, state::incarnation_number{1},    tables, workers,  timers,
-                            clock,    {headers, format, store, fleet}, phase,  activity, callers};
+                            clock,    {headers, format, store, fleet}, phase,  activity, callers,
+                            relayed};
 };
 
 TEST_F(server_selector_test, retry_of_restricted_request_stays_in_permitted_region)
--- a/tools/standins/engine.cpp
+++ b/tools/standins/engine.cpp
@@ -269,7 +269,7 @@
             if (settings_.tear_after >= 0 && sent >= settings_.tear_after)
             {
                 auto const event = token_event(answer_token(request.prompt, sent + 1));
-                co_await connection.writer.send_chunk(event.substr(0, event.size() / 2));
+                co_await connection.writer.send_part(event.substr(0, event.size() / 2));
                 is_torn = true;
                 break;
             }
@@ -278,7 +278,7 @@
             if (stream->exported)
                 break;
             co_await wait_for_next_token();
-            is_open = co_await connection.writer.send_chunk(
+            is_open = co_await connection.writer.send_part(
                 token_event(answer_token(request.prompt, request.partial_answer_tokens + i)));
             statistics_.tokens += is_open ? 1 : 0;
             is_open = is_open && !connection.writer.caller_has_disconnected();
@@ -294,7 +294,7 @@
         if (!stream->exported && !is_torn)
         {
             ++statistics_.finished;
-            co_await connection.writer.send_chunk(finish_events());
+            co_await connection.writer.send_part(finish_events());
         }
         co_await connection.writer.end();
     }
--- a/tools/standins/routed_backend.cpp
+++ b/tools/standins/routed_backend.cpp
@@ -168,7 +168,7 @@
         bool open = co_await connection.writer.begin(std::move(response));
         while (open)
         {
-            open = co_await connection.writer.send_chunk(bytes.part);
+            open = co_await connection.writer.send_part(bytes.part);
             co_await transport::sleep_for(io_, bytes.pause);
         }
         connection.reset();
@@ -212,12 +212,12 @@
             if (cut_after_ > 0 && event > cut_after_)
             {
                 // Closes the connection within an event.
-                co_await connection.writer.send_chunk("id: " + std::to_string(event) + "\nda");
+                co_await connection.writer.send_part("id: " + std::to_string(event) + "\nda");
                 connection.reset();
                 co_return;
             }
             auto const number = std::to_string(event);
-            co_await connection.writer.send_chunk(
+            co_await connection.writer.send_part(
                 "id: " + number + "\ndata: token-" + number + "\n\n");
             co_await transport::sleep_for(io_, std::chrono::milliseconds{event_ms_});
         }
