Take no lost link for the crash of a server

A gateway whose links to all servers were reset logged backend_crashed for servers that ran, and reported the requests that it had lost as evidence of crashes to the holder of the duties, which may quarantine sound requests everywhere. Its check, whether the server accepts a connection, can't tell a server that has ended from a link that is cut.

Losses now count only if another server of the service was reached since, or if no gateway reaches the service, so that all servers have failed. Else they are dropped and counted (crashes_discounted).

--- a/src/coordination/loss_table.hpp
+++ b/src/coordination/loss_table.hpp
@@ -33,6 +33,8 @@
 
     void remove(state::server_process_hash server);
 
+    bool contains(state::server_process_hash server) const { return losses_.contains(server); }
+
     /// Number of segments that were not recorded.
     std::uint64_t dropped() const { return dropped_; }
 
--- a/src/coordination/segment_quarantine.cpp
+++ b/src/coordination/segment_quarantine.cpp
@@ -66,6 +66,12 @@
     return true;
 }
 
+bool segment_quarantine::has_losses(server_process_hash server) const
+{
+    state::ranked_lock lock(mutex_);
+    return losses_.contains(server);
+}
+
 void segment_quarantine::dismiss_losses(server_process_hash server)
 {
     state::ranked_lock lock(mutex_);
--- a/src/coordination/segment_quarantine.hpp
+++ b/src/coordination/segment_quarantine.hpp
@@ -106,6 +106,9 @@
     /// @return whether there were any
     bool confirm_crash(state::server_process_hash server, state::time_point now);
 
+    /// Whether losses at a server process wait for `confirm_crash` or `dismiss_losses`.
+    bool has_losses(state::server_process_hash server) const;
+
     /// Forgets the losses at a server process that is still there.
     void dismiss_losses(state::server_process_hash server);
 
--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -134,6 +134,7 @@
         "reach_probes",
         "attempts_relayed",
         "attempts_relayed_for_others",
+        "crashes_discounted",
     };
 
 } // namespace
--- a/src/transport/attempt_recorder.cpp
+++ b/src/transport/attempt_recorder.cpp
@@ -16,6 +16,11 @@
 /// the server's process ends.
 constexpr state::duration check_delay = std::chrono::milliseconds{50};
 
+/// Interval and limit of the checks whether a lost server or the link to all servers has failed.
+/// Losses are forgotten two seconds after the first one.
+constexpr state::duration link_check_interval = std::chrono::milliseconds{50};
+constexpr state::duration max_link_check_time = std::chrono::milliseconds{1800};
+
 state::server_process_hash process_of(state::server_view const& server)
 {
     return coordination::hash_of_process(server.listed.id, server.listed.incarnation);
@@ -170,7 +175,10 @@
 
 void attempt_recorder::record_unreachable(state::server_view const& server)
 {
-    confirm_crash(context_, server);
+    if (!context_.tables.segment_quarantine.has_losses(process_of(server)))
+        return;
+    auto confirmation = confirm_crash(context_, worker_, server);
+    net::co_spawn(worker_.io(), std::move(confirmation), net::detached);
 }
 
 net::awaitable<void> attempt_recorder::check_server(
@@ -182,20 +190,63 @@
     if (is_reachable)
         context.tables.segment_quarantine.dismiss_losses(process_of(server));
     else
-        confirm_crash(context, server);
+        co_await confirm_crash(context, assigned_worker, server);
+}
+
+std::optional<bool> attempt_recorder::server_has_failed(
+    gateway_context& context, state::server_view const& server, state::time_point lost_at)
+{
+    using coordination::link_verdict;
+    using coordination::reach_of_others;
+    auto& tables = context.tables;
+    auto const& service = server.listed.service;
+    switch (tables.reach.link_to(service, server.listed.id, lost_at, now()))
+    {
+    case link_verdict::sound:
+        return true;
+    case link_verdict::unknown:
+        return std::nullopt;
+    case link_verdict::cut:
+        break;
+    }
+    // All servers of the service may have failed at once. Then no instance reaches them.
+    switch (tables.relays.others_reach(service))
+    {
+    case reach_of_others::none:
+        return true;
+    case reach_of_others::some:
+        return false;
+    case reach_of_others::unknown:
+        break;
+    }
+    return std::nullopt;
 }
 
-void attempt_recorder::confirm_crash(gateway_context& context, state::server_view const& server)
+net::awaitable<void> attempt_recorder::confirm_crash(
+    gateway_context& context, worker& assigned_worker, state::server_view server)
 {
     auto& tables = context.tables;
+    auto const began_at = now();
+    auto failed = server_has_failed(context, server, began_at - check_delay);
+    while (!failed && now() - began_at < max_link_check_time)
+    {
+        co_await sleep_for(assigned_worker.io(), link_check_interval);
+        failed = server_has_failed(context, server, began_at - check_delay);
+    }
+    if (!failed.value_or(false))
+    {
+        tables.counters.increment(state::event_counter::crashes_discounted);
+        tables.segment_quarantine.dismiss_losses(process_of(server));
+        co_return;
+    }
     // A server that ends after its notice ends whatever its requests are.
     if (tables.servers.is_leaving(server.listed.id, server.listed.incarnation))
     {
         tables.segment_quarantine.dismiss_losses(process_of(server));
-        return;
+        co_return;
     }
     if (!tables.segment_quarantine.confirm_crash(process_of(server), now()))
-        return;
+        co_return;
     tables.counters.increment(state::event_counter::backend_crashes_seen);
     log(log_event::backend_crashed,
         {{"backend", server.listed.id.str()},
--- a/src/transport/attempt_recorder.hpp
+++ b/src/transport/attempt_recorder.hpp
@@ -53,7 +53,14 @@
     void record_limit(state::server_view const& server, backend_headers const& response);
     static net::awaitable<void> check_server(
         gateway_context& context, worker& assigned_worker, state::server_view server);
-    static void confirm_crash(gateway_context& context, state::server_view const& server);
+    /// Records the lost requests at a server that accepts no connections as crash evidence, once it
+    /// is known that it is the server that fails and not the link to all servers.
+    static net::awaitable<void> confirm_crash(
+        gateway_context& context, worker& assigned_worker, state::server_view server);
+    /// Whether the servers of a service fail and not this instance's links to them; null while it
+    /// is not known.
+    static std::optional<bool> server_has_failed(
+        gateway_context& context, state::server_view const& server, state::time_point lost_at);
 
     gateway_context& context_;
     worker& worker_;
--- a/tests/integration/gateway_cut_test.cpp
+++ b/tests/integration/gateway_cut_test.cpp
@@ -199,6 +199,23 @@
     EXPECT_EQ(runs(), before);
 }
 
+// Requests that a cut breaks off must not be taken for ones that crash servers.
+TEST_F(gateway_cut_test, requests_that_the_cut_breaks_off_are_no_evidence_of_crashes)
+{
+    for (int i = 0; i < backends; ++i)
+        gateway_deployment::control(system.backend(i), {{"delay_ms", 600}});
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 12; ++i)
+        callers.emplace_back([this, i]
+                             { system.send_request("/safe/x", "b" + std::to_string(i)); });
+    std::this_thread::sleep_for(std::chrono::milliseconds{200});
+    system.cut_off(cut_gateway, cut_kind::refused);
+    for (auto& caller : callers)
+        caller.join();
+    std::this_thread::sleep_for(std::chrono::milliseconds{2500});
+    EXPECT_EQ(sum_of_counters("auburnweir_backend_crashes_seen_total"), 0);
+}
+
 TEST_F(gateway_cut_test, gateway_sends_directly_soon_after_the_cut_has_healed)
 {
     cut_and_wait(cut_kind::refused);
