Record the requests that servers break off again

Since forwarder::record_loss called itself instead of the recorder, so that no lost request became evidence of a crash: requests that crash servers would not have been quarantined.

--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -323,7 +323,7 @@
 void forwarder::record_loss(state::server_view const& server)
 {
     if (!via_)
-        record_loss(server);
+        recorder_.record_loss(server, forwarded_);
 }
 
 net::awaitable<void> forwarder::handle_refused_relay(state::server_view const& server)
@@ -635,7 +635,7 @@
     if (succeeded || relay_->is_answering())
         recorder_.record_answer(forwarded_);
     else if (result == relay_result::interrupted)
-        recorder_.record_loss(server, forwarded_);
+        record_loss(server);
 }
 
 logged_request forwarder::logged() const
