Avoid servers without a connection, and charge no retry budget for them

A gateway that reaches some servers of a service only refused most requests with no_backend: each attempt that could not connect took a retry from the budget, and the next request tried the same servers again.

A server that accepts no connection is now avoided for 1 to 4 s while others are left, until it responds or the link to its service is back; attempts that could not connect are not charged, as the budget limits what arrives at servers.

gateway_cut_test.gateway_that_reaches_one_server_uses_it_directly covers it.

--- a/src/state/server_table.cpp
+++ b/src/state/server_table.cpp
@@ -17,6 +17,11 @@
 
 /// A row that is renewed with the time that is left names nearly the same end again.
 constexpr duration cold_end_tolerance = std::chrono::seconds{1};
+
+/// Time for which a server that accepts no connection is avoided; doubles with each failure.
+constexpr duration min_unconnected_time = std::chrono::seconds{1};
+constexpr duration max_unconnected_time = std::chrono::seconds{4};
+constexpr int max_connect_failures = 3; ///< after which the time does not grow
 } // namespace
 
 server_table::change server_table::apply(
@@ -175,16 +180,16 @@
     // Growing in steps costs more than the copies: with 600 servers each selection would get new
     // pages from the kernel.
     result.open.reserve(entries_.size());
-    std::vector<server_view> ejected;
+    std::vector<server_view> avoided;
     for (auto const& item : entries_)
     {
         auto const& view = item.second.view;
         if (view.listed.service != service)
             continue;
-        bool const is_ejected = view.ejected_until && *view.ejected_until > now;
+        bool const is_avoided = view.is_avoided(now);
         std::visit(
             overloaded{
-                [&](server_open) { (is_ejected ? ejected : result.open).push_back(view); },
+                [&](server_open) { (is_avoided ? avoided : result.open).push_back(view); },
                 [&](server_closed closed) {
                     result.closed.push_back({view.listed.id, closed.until});
                 },
@@ -192,7 +197,7 @@
             availability_of(item.second, rule, now));
     }
     if (result.open.empty())
-        result.open = std::move(ejected);
+        result.open = std::move(avoided);
     return result;
 }
 
@@ -496,6 +501,13 @@
         return std::nullopt;
     auto& v = it->second.view;
     v.in_flight = std::max<std::int64_t>(0, v.in_flight - 1);
+    bool const has_responded =
+        outcome == server_outcome::answered || outcome == server_outcome::refused;
+    if (has_responded)
+    {
+        v.connect_failures = 0;
+        v.unconnected_until.reset();
+    }
     switch (outcome)
     {
     case server_outcome::answered:
@@ -524,6 +536,30 @@
         it->second.view.unnamed_refusal_at = now;
 }
 
+void server_table::record_unconnected(backend_id const& id, time_point now)
+{
+    ranked_lock lock(mutex_);
+    auto const it = entries_.find(id);
+    if (it == entries_.end())
+        return;
+    auto& v = it->second.view;
+    auto const avoided_for = min_unconnected_time * (1 << v.connect_failures);
+    v.unconnected_until = now + std::min(avoided_for, max_unconnected_time);
+    v.connect_failures = std::min(v.connect_failures + 1, max_connect_failures);
+}
+
+void server_table::record_link(service_id const& service)
+{
+    ranked_lock lock(mutex_);
+    for (auto& [id, e] : entries_)
+    {
+        if (e.view.listed.service != service)
+            continue;
+        e.view.connect_failures = 0;
+        e.view.unconnected_until.reset();
+    }
+}
+
 void server_table::eject(backend_id const& id, time_point until)
 {
     ranked_lock lock(mutex_);
--- a/src/state/server_table.hpp
+++ b/src/state/server_table.hpp
@@ -65,6 +65,8 @@
     int failures_in_row = 0;
     int ejections = 0;
     std::optional<time_point> ejected_until;
+    int connect_failures = 0;                    ///< in a row, without a response in between
+    std::optional<time_point> unconnected_until; ///< no connection is tried while others are left
     time_point first_listed_at{};
     time_point refused_at{};                      ///< when the server last refused a request
     std::optional<time_point> unnamed_refusal_at; ///< when a refusal last named no request
@@ -77,6 +79,12 @@
     std::optional<server_rating> rating;  ///< by all instances, or by this one alone
     time_point rated_at{};
 
+    bool is_avoided(time_point now) const
+    {
+        return (ejected_until && *ejected_until > now) ||
+               (unconnected_until && *unconnected_until > now);
+    }
+
     bool is_cold(time_point now) const { return cold_until && *cold_until > now; }
 };
 
@@ -139,7 +147,7 @@
     std::uint64_t dropped_departures() const;
 
     /// Servers of a service to which a request may be sent, by their availability; of the open
-    /// ones, the ejected ones only when there is no other.
+    /// ones, the avoided ones only when there is no other.
     server_pool pool(
         service_id const& service, time_point now, placement_rule const& rule = any_domain{}) const;
 
@@ -222,6 +230,13 @@
         backend_id const& id, server_outcome outcome, time_point now);
     void eject(backend_id const& id, time_point until);
 
+    /// Records that a server accepts no connection from here. It is avoided for a time that grows
+    /// with each failure, until it responds.
+    void record_unconnected(backend_id const& id, time_point now);
+
+    /// Records that the link to a service's servers is back: none is avoided for lack of one.
+    void record_link(service_id const& service);
+
 private:
     /// A server that has not said whether it is cold, and may have begun to be.
     struct assumed_cold
--- a/src/transport/attempt_recorder.cpp
+++ b/src/transport/attempt_recorder.cpp
@@ -51,6 +51,8 @@
     auto const servers = context_.tables.servers.all(server.listed.service).size();
     context_.tables.reach.record_failure(
         server.listed.service, server.listed.id, failure, servers, now());
+    if (failure == coordination::link_failure::connect_failed)
+        context_.tables.servers.record_unconnected(server.listed.id, now());
 }
 
 void attempt_recorder::record_end(state::server_view const& server, state::server_outcome outcome)
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -543,8 +543,9 @@
     auto decision = coordination::decide_attempt(failed, progress_, true);
     if (auto const* retry_decision = std::get_if<coordination::retry_elsewhere>(&decision))
     {
-        // The budget limits what arrives at servers; such an attempt was not sent.
-        bool const is_free = retry_decision->cause == retry_reason::relay_refused;
+        // The budget limits what arrives at servers; these attempts were not sent.
+        bool const is_free = retry_decision->cause == retry_reason::relay_refused ||
+                             retry_decision->cause == retry_reason::connect_failed;
         if (is_free || context_.tables.retry_budget.try_acquire(service_, now()))
         {
             context_.tables.counters.increment(retry_decision->cause);
--- a/src/transport/reach_prober.cpp
+++ b/src/transport/reach_prober.cpp
@@ -106,7 +106,10 @@
         return;
     bool const is_lost = change == reach_change::lost;
     if (!is_lost)
+    {
         tables.relays.forget(service);
+        tables.servers.record_link(service);
+    }
     tables.counters.increment(
         is_lost ? event_counter::services_lost : event_counter::services_regained);
     log(is_lost ? log_event::service_unreachable : log_event::service_reachable,
--- a/tests/integration/gateway_cut_test.cpp
+++ b/tests/integration/gateway_cut_test.cpp
@@ -226,6 +226,14 @@
     EXPECT_EQ(system.counter(cut_gateway, "auburnweir_attempts_relayed_total"), relayed);
 }
 
+TEST_F(gateway_cut_test, gateway_that_reaches_one_server_uses_it_directly)
+{
+    system.cut_off(cut_gateway, cut_kind::refused, {0, 1});
+    served("/safe/x", "w", 20);
+    EXPECT_EQ(served("/safe/x", "p", 20), 20);
+    EXPECT_EQ(system.counter(cut_gateway, "auburnweir_attempts_relayed_total"), 0);
+}
+
 TEST_F(gateway_cut_test, request_that_no_gateway_can_send_is_refused_at_once)
 {
     for (int i = 1; i < gateways; ++i)
