--- a/src/coordination/service_reach.cpp
+++ b/src/coordination/service_reach.cpp
@@ -3,6 +3,7 @@
 #include "state/overloaded.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace auburnweir::coordination
 {
@@ -79,7 +80,10 @@
 {
     state::ranked_lock lock(mutex_);
     std::vector<reach_probe> due;
-    for (auto& [service, e] : entries_)
+    for (auto& item : entries_)
+    {
+        auto const& service = item.first;
+        auto& e = item.second;
         std::visit(
             state::overloaded{
                 [](service_reachable const&) {},
@@ -101,6 +105,7 @@
                     due.push_back({service, {}, 1});
                 }},
             e.state);
+    }
     return due;
 }
 
