--- a/src/transport/attempt_recorder.cpp
+++ b/src/transport/attempt_recorder.cpp
@@ -41,6 +41,8 @@
 
 void attempt_recorder::record_contact(state::server_view const& server, bool is_new_connection)
 {
+    if (is_relayed_)
+        return;
     context_.tables.reach.record_contact(
         server.listed.service, server.listed.id, is_new_connection, now());
 }
@@ -48,6 +50,8 @@
 void attempt_recorder::record_link_failure(
     state::server_view const& server, coordination::link_failure failure)
 {
+    if (is_relayed_)
+        return;
     auto const servers = context_.tables.servers.all(server.listed.service).size();
     context_.tables.reach.record_failure(
         server.listed.service, server.listed.id, failure, servers, now());
@@ -58,7 +62,10 @@
 void attempt_recorder::record_end(state::server_view const& server, state::server_outcome outcome)
 {
     auto& servers = context_.tables.servers;
-    auto const view = servers.record_end(server.listed.id, outcome, now());
+    bool const is_of_server = !is_relayed_ || outcome == state::server_outcome::answered ||
+                              outcome == state::server_outcome::refused;
+    auto const view = servers.record_end(
+        server.listed.id, is_of_server ? outcome : state::server_outcome::abandoned, now());
     if (!view)
         return;
     auto const others = servers.all(server.listed.service);
@@ -161,6 +168,8 @@
 void attempt_recorder::record_loss(
     state::server_view const& server, state::forwarded_request const& request)
 {
+    if (is_relayed_)
+        return;
     bool const check_is_due = context_.tables.segment_quarantine.record_loss(
         process_of(server), coordination::evidence_hashes(request), now());
     if (!check_is_due)
--- a/src/transport/attempt_recorder.hpp
+++ b/src/transport/attempt_recorder.hpp
@@ -18,6 +18,10 @@
     {
     }
 
+    /// Begins an attempt. If a peer relays it, its failures may be the peer's, and the peer records
+    /// what they show of the server, its link and the request.
+    void begin_attempt(bool is_relayed) { is_relayed_ = is_relayed; }
+
     /// Records for the usage report that a server has begun to run the request.
     /// @param organisation  null: none is charged
     void record_start(state::organisation_quota const* organisation);
@@ -64,6 +68,7 @@
 
     gateway_context& context_;
     worker& worker_;
+    bool is_relayed_ = false;
 };
 
 /// Counts and logs changes of the segments' verdicts.
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -1,6 +1,5 @@
 #include "transport/forwarder.hpp"
 
-#include "protocol/relay_head.hpp"
 #include "state/overloaded.hpp"
 #include "transport/async_signal.hpp"
 #include "transport/request_log.hpp"
@@ -41,13 +40,6 @@
 constexpr state::duration min_poll_period = std::chrono::milliseconds{5};
 constexpr state::duration max_poll_period = std::chrono::milliseconds{200};
 
-/// Whether a peer's response is the server's. If not, the peer has sent nothing to the server.
-bool is_relayed(http_stream const& response)
-{
-    auto const& name = protocol::relayed_header;
-    return response.headers().count({name.data(), name.size()}) > 0;
-}
-
 std::string seconds_with_fraction(state::duration d)
 {
     auto const ms = std::chrono::ceil<std::chrono::milliseconds>(d).count();
@@ -67,6 +59,7 @@
     , request_(std::move(request))
     , arrived_at_(arrived_at)
     , recorder_(context, assigned_worker)
+    , path_(context, assigned_worker)
     , quarantine_(context, assigned_worker)
 {
 }
@@ -277,59 +270,10 @@
     return own;
 }
 
-bool forwarder::choose_path()
-{
-    via_.reset();
-    auto& tables = context_.tables;
-    if (!tables.reach.is_unreachable(service_))
-        return true;
-    auto peer = tables.relays.choose(service_, now(), worker_.random());
-    if (!peer)
-        return false;
-    via_.emplace(tables.relays, std::move(*peer));
-    tables.counters.increment(state::event_counter::attempts_relayed);
-    return true;
-}
-
-void forwarder::add_relay_head(http_request& call, state::server_view const& server) const
-{
-    protocol::relay_head head;
-    head.from = context_.settings.id;
-    head.server = server.listed.id;
-    head.at_most_once = route_->retry == state::retry_rule::at_most_once;
-    head.fingerprint = forwarded_.fingerprint;
-    protocol::relayed_message const message{call.method, call.target,     forwarded_.id.str(),
-                                            call.body,   via_->peer().id, via_->peer().incarnation};
-    call.headers.emplace_back(
-        protocol::relay_header,
-        protocol::encode_relay_head(head, message, context_.settings.peer_key));
-}
-
-void forwarder::record_end(state::server_view const& server, state::server_outcome outcome)
-{
-    // A failure of a relayed attempt may be the peer's, which records the server's health.
-    bool const is_of_server =
-        !via_ || outcome == server_outcome::answered || outcome == server_outcome::refused;
-    recorder_.record_end(server, is_of_server ? outcome : server_outcome::abandoned);
-}
-
-void forwarder::record_link_failure(
-    state::server_view const& server, coordination::link_failure failure)
-{
-    if (!via_)
-        recorder_.record_link_failure(server, failure);
-}
-
-void forwarder::record_loss(state::server_view const& server)
-{
-    if (!via_)
-        recorder_.record_loss(server, forwarded_);
-}
-
 net::awaitable<void> forwarder::handle_refused_relay(state::server_view const& server)
 {
-    via_->record_refusal(now());
-    record_end(server, server_outcome::abandoned);
+    path_.record_refusal();
+    recorder_.record_end(server, server_outcome::abandoned);
     selector_->release(server.listed.id);
     attempt_not_run const failed{retry_reason::relay_refused};
     co_await handle_failed_attempt(server, failed);
@@ -337,9 +281,11 @@
 
 net::awaitable<void> forwarder::run_attempt(state::server_view const& server)
 {
-    if (!choose_path())
+    bool const has_path = path_.choose(service_);
+    recorder_.begin_attempt(path_.is_relayed());
+    if (!has_path)
     {
-        record_end(server, server_outcome::abandoned);
+        recorder_.record_end(server, server_outcome::abandoned);
         if (progress_.possibly_executed > 0)
             co_await finish_with_unknown_outcome(refusal_reason::backend_failed);
         else
@@ -353,19 +299,15 @@
     call.target = std::string{target.data(), target.size()};
     call.headers = context_.ports.dialect.encode(request_, forwarded_, gateway_headers_for(server));
     call.body = request_.body();
-    auto to = server.listed.address;
-    if (via_)
-    {
-        to = via_->peer().address;
-        add_relay_head(call, server);
-    }
+    bool const at_most_once = route_->retry == state::retry_rule::at_most_once;
+    auto const to = path_.address(call, server.listed, forwarded_, at_most_once);
 
     call_policy policy;
     policy.header_timeout = time_left();
     policy.connect_timeout = context_.settings.connect_timeout;
     policy.cancel = cancel_;
     policy.request = forwarded_.id;
-    if (route_->retry == state::retry_rule::at_most_once)
+    if (at_most_once)
         policy.max_idle_time = max_idle_for_at_most_once;
     trace_ = {};
     response_filter filter(context_, forwarded_, server.listed.id, route_->retry, trace_);
@@ -375,12 +317,12 @@
     policy.owner_of = [&](int status, http_fields const& headers)
     {
         // A peer has matched the server's response, and its own names no request.
-        if (via_)
+        if (path_.is_relayed())
             return response_owner::this_call;
         return filter.owner_of(status, headers);
     };
     policy.on_unacknowledged = [this, &server]
-    { record_link_failure(server, coordination::link_failure::lost); };
+    { recorder_.record_link_failure(server, coordination::link_failure::lost); };
 
     relay_->begin_attempt();
     ++progress_.attempts;
@@ -393,19 +335,19 @@
     }
     if (cancel_->cancelled())
     {
-        record_end(server, server_outcome::abandoned);
+        recorder_.record_end(server, server_outcome::abandoned);
         co_return;
     }
     bool const is_unsent = opened.error() == http_error::connect_failed;
-    if (is_unsent && via_)
+    if (is_unsent && path_.is_relayed())
     {
         co_await handle_refused_relay(server);
         co_return;
     }
     if (is_unsent)
     {
-        record_end(server, server_outcome::unreachable);
-        record_link_failure(server, coordination::link_failure::connect_failed);
+        recorder_.record_end(server, server_outcome::unreachable);
+        recorder_.record_link_failure(server, coordination::link_failure::connect_failed);
         recorder_.record_unreachable(server);
         attempt_not_run const failed{retry_reason::connect_failed};
         co_await handle_failed_attempt(server, failed);
@@ -413,11 +355,11 @@
     }
     ++progress_.possibly_executed;
     bool const timed_out = opened.error() == http_error::timed_out;
-    record_end(server, timed_out ? server_outcome::unreachable : server_outcome::failed);
+    recorder_.record_end(server, timed_out ? server_outcome::unreachable : server_outcome::failed);
     if (!timed_out)
     {
-        record_link_failure(server, coordination::link_failure::lost);
-        record_loss(server);
+        recorder_.record_link_failure(server, coordination::link_failure::lost);
+        recorder_.record_loss(server, forwarded_);
     }
     if (!route_->streaming)
         recorder_.record_start(organisation_);
@@ -427,7 +369,7 @@
 net::awaitable<void> forwarder::handle_response(
     state::server_view const& server, http_stream response)
 {
-    if (via_ && !is_relayed(response))
+    if (!path_.was_sent(response))
     {
         co_await response.discard_rest();
         co_await handle_refused_relay(server);
@@ -436,14 +378,13 @@
     auto const status = response.status();
     trace_.status = status;
     auto const backend_values = context_.ports.dialect.decode_response(status, response.headers());
-    if (!via_)
-        recorder_.record_contact(server, trace_.connection.requests == 1);
+    recorder_.record_contact(server, trace_.connection.requests == 1);
     recorder_.record_statements(server, backend_values);
     if (backend_values.not_run)
     {
         response.record_refusal(forwarded_.id);
         co_await response.discard_rest();
-        record_end(server, server_outcome::refused);
+        recorder_.record_end(server, server_outcome::refused);
         bool const misdirected = status == status_misdirected;
         co_await handle_failed_attempt(
             server, attempt_not_run{
@@ -457,7 +398,7 @@
                         (progress_.response_begun && !continues_stream(response));
     if (failed)
     {
-        record_end(server, server_outcome::failed);
+        recorder_.record_end(server, server_outcome::failed);
         if (!co_await relays_failure(server, response))
             co_return;
     }
@@ -477,7 +418,7 @@
         resume_after_ = relay_->last_event_id();
     if (!failed)
     {
-        record_end(server, outcome_of(result));
+        recorder_.record_end(server, outcome_of(result));
         record_segments(server, status, result);
     }
     switch (result)
@@ -636,7 +577,7 @@
     if (succeeded || relay_->is_answering())
         recorder_.record_answer(forwarded_);
     else if (result == relay_result::interrupted)
-        record_loss(server);
+        recorder_.record_loss(server, forwarded_);
 }
 
 logged_request forwarder::logged() const
@@ -648,8 +589,8 @@
     state::server_view const& server, std::string_view cause, std::string_view next)
 {
     log_failed_attempt(
-        logged(), {server.listed.id, cause, next, via_ ? via_->peer().id : state::instance_id{},
-                   relay_->first_event_at(), time_left(), trace_});
+        logged(), {server.listed.id, cause, next, path_.relay(), relay_->first_event_at(),
+                   time_left(), trace_});
 }
 
 } // namespace auburnweir::transport
--- a/src/transport/forwarder.hpp
+++ b/src/transport/forwarder.hpp
@@ -3,11 +3,11 @@
 
 #include "coordination/attempt_policy.hpp"
 #include "coordination/request_admission.hpp"
+#include "transport/attempt_path.hpp"
 #include "transport/attempt_recorder.hpp"
 #include "transport/caller_watch.hpp"
 #include "transport/gateway_context.hpp"
 #include "transport/quarantine_gate.hpp"
-#include "transport/relay_use.hpp"
 #include "transport/request_log.hpp"
 #include "transport/response_relay.hpp"
 #include "transport/response_writer.hpp"
@@ -42,15 +42,8 @@
     /// Handles that no server takes a request before `until`.
     net::awaitable<void> wait_or_refuse(state::time_point until);
     net::awaitable<void> run_attempt(state::server_view const& server);
-    /// Chooses a peer to relay the attempt if this instance does not reach the service.
-    /// @return false when no peer is left
-    bool choose_path();
-    void add_relay_head(http_request& call, state::server_view const& server) const;
     /// Handles that the peer has not sent the attempt to the server.
     net::awaitable<void> handle_refused_relay(state::server_view const& server);
-    void record_end(state::server_view const& server, state::server_outcome outcome);
-    void record_link_failure(state::server_view const& server, coordination::link_failure failure);
-    void record_loss(state::server_view const& server);
     net::awaitable<void> handle_response(state::server_view const& server, http_stream response);
     /// Handles a server's own failure. @return whether its response goes to the caller
     net::awaitable<bool> relays_failure(state::server_view const& server, http_stream& response);
@@ -89,10 +82,10 @@
 
     std::shared_ptr<call_cancellation> cancel_ = std::make_shared<call_cancellation>();
     attempt_recorder recorder_;
+    attempt_path path_; ///< of the last attempt
     quarantine_gate quarantine_;
     coordination::attempt_progress progress_;
-    attempt_trace trace_;          ///< of the last attempt
-    std::optional<relay_use> via_; ///< the peer that relays the last attempt; null: it is direct
+    attempt_trace trace_;                     ///< of the last attempt
     std::optional<response_relay> relay_;     ///< set when the request is admitted
     std::optional<server_selector> selector_; ///< the same
     state::listed_server streaming_server_;   ///< whose stream is relayed
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -67,6 +67,7 @@
     , links_(links)
     , directory_(directory)
     , registry_(context)
+    , relays_(context)
 {
 }
 
@@ -331,7 +332,7 @@
         apply_rank(reports.rank_of(context_.settings.id, context_.settings.id), "own_reports");
     share_limits_as_holder();
     rate_servers_as_holder();
-    assign_relays_as_holder(members);
+    relays_.update_as_holder(members, response_validity() + context_.settings.report_period);
     apply_shares(live, known, silent_instance_expiry);
 }
 
@@ -354,79 +355,6 @@
     context_.tables.servers.apply_ratings(context_.tables.server_ratings.all(time), time);
 }
 
-std::uint16_t peer_exchange::relay_port() const
-{
-    auto const& settings = context_.settings;
-    bool const is_shared = settings.relay_listen.host == settings.peer_listen.host;
-    return is_shared && context_.phase == stop_phase::running ? settings.relay_listen.port : 0;
-}
-
-std::set<state::service_id> peer_exchange::unreachable_services() const
-{
-    std::set<state::service_id> services;
-    for (auto const& [service, since] : context_.tables.reach.unreachable())
-        services.insert(service);
-    return services;
-}
-
-std::vector<coordination::relay_candidate> peer_exchange::relay_candidates(
-    std::vector<state::reporting_instance> const& members) const
-{
-    std::vector<coordination::relay_candidate> candidates;
-    auto const& settings = context_.settings;
-    if (auto const port = relay_port(); port != 0)
-        candidates.push_back(
-            {{settings.id,
-              context_.incarnation,
-              settings.failure_domain,
-              {settings.relay_listen.host, port}},
-             unreachable_services()});
-    for (auto const& member : members)
-    {
-        auto const& report = member.report;
-        bool const is_silent =
-            now() - member.last_report_at > response_validity() + settings.report_period;
-        if (is_silent || report.stopping || report.relay_port == 0)
-            continue;
-        candidates.push_back(
-            {{report.id,
-              report.incarnation,
-              report.failure_domain,
-              {report.peer_address.host, report.relay_port}},
-             report.unreachable});
-    }
-    return candidates;
-}
-
-void peer_exchange::assign_relays_as_holder(std::vector<state::reporting_instance> const& members)
-{
-    auto candidates = relay_candidates(members);
-    auto const unreachable = unreachable_services();
-    if (!unreachable.empty())
-    {
-        auto others = candidates;
-        std::erase_if(others, [&](auto const& c) { return c.peer.id == context_.settings.id; });
-        context_.tables.relays.assign(coordination::assign_relays(
-            context_.settings.id, context_.settings.failure_domain, unreachable, others));
-    }
-    std::lock_guard lock(mutex_);
-    relay_candidates_ = std::move(candidates);
-}
-
-state::relay_peers peer_exchange::relays_for(state::instance_report const& report)
-{
-    if (report.unreachable.empty())
-        return {};
-    std::vector<coordination::relay_candidate> candidates;
-    {
-        std::lock_guard lock(mutex_);
-        candidates = relay_candidates_;
-    }
-    std::erase_if(candidates, [&](auto const& c) { return c.peer.id == report.id; });
-    return coordination::assign_relays(
-        report.id, report.failure_domain, report.unreachable, candidates);
-}
-
 void peer_exchange::tick_as_follower(state::instance const& holder, state::server_observations seen)
 {
     auto const max_silence = max_silent_periods * context_.settings.report_period;
@@ -450,7 +378,7 @@
     bool const follows_other = !holder.id.empty() && holder.id != context_.settings.id;
     bool const is_urgent = context_.tables.quotas.report_is_urgent() ||
                            context_.tables.segment_quarantine.report_is_urgent() ||
-                           unreachable_services() != reported_unreachable_;
+                           relays_.has_unreported_change();
     if (follows_other && is_urgent)
         links_.send(holder, make_report(report_content::quotas_only));
 }
@@ -479,9 +407,7 @@
         if (pending_reports_.size() > max_pending_reports)
             pending_reports_.pop_front();
     }
-    report.relay_port = relay_port();
-    report.unreachable = unreachable_services();
-    reported_unreachable_ = report.unreachable;
+    relays_.add_to(report);
     report.digest = context_.tables.directory_log.digest();
     report.acknowledged = context_.tables.acknowledged.current();
     report.isolated = context_.tables.quotas.is_isolated(now());
@@ -549,7 +475,7 @@
         response.operator_rows = {
             context_.tables.routes.newest(), context_.tables.routes.age(now()),
             context_.tables.acknowledged.current()};
-    response.relays = relays_for(report);
+    response.relays = relays_.relays_for(report);
     state::instance_rank rank;
     if (has_cold_services(context_.tables))
         rank = context_.tables.instance_reports.rank_of(report.id, context_.settings.id);
--- a/src/transport/peer_exchange.hpp
+++ b/src/transport/peer_exchange.hpp
@@ -2,13 +2,12 @@
 #define AUBURNWEIR_TRANSPORT_PEER_EXCHANGE_HPP
 
 #include "coordination/directory_update_limiter.hpp"
-#include "coordination/relay_assignment.hpp"
 #include "transport/directory_sync.hpp"
 #include "transport/instance_registry.hpp"
 #include "transport/peer_links.hpp"
+#include "transport/relay_directory.hpp"
 
 #include <deque>
-#include <set>
 
 namespace auburnweir::transport
 {
@@ -96,14 +95,6 @@
     /// Rates the servers by what this instance has seen since the last call. @return what it was
     state::server_observations observe_servers();
     void rate_servers_as_holder();
-    /// Port at which this instance relays requests; 0: none.
-    std::uint16_t relay_port() const;
-    std::set<state::service_id> unreachable_services() const;
-    /// As the holder: the instances that could relay requests now.
-    std::vector<coordination::relay_candidate> relay_candidates(
-        std::vector<state::reporting_instance> const& members) const;
-    void assign_relays_as_holder(std::vector<state::reporting_instance> const& members);
-    state::relay_peers relays_for(state::instance_report const& report);
     void add_ratings(state::report_response& response, state::instance_report const& report);
     void apply_rating_update(
         state::instance_incarnation const& source, state::rating_update const& update);
@@ -121,10 +112,9 @@
     peer_links& links_;
     directory_sync& directory_;
     instance_registry registry_;
+    relay_directory relays_;
     std::vector<timer_subscription> subscriptions_;
     std::uint64_t report_periods_ = 0;
-    /// As last reported; used by the first worker.
-    std::set<state::service_id> reported_unreachable_;
     state::instance_id reported_to_; ///< holder that the last report was sent to
     std::uint64_t sequence_ = 0;
 
@@ -153,7 +143,6 @@
     state::time_point holder_since_{};
     /// As the holder: those instances that were known before have reported, or had time to.
     bool ranks_are_settled_ = false;
-    std::vector<coordination::relay_candidate> relay_candidates_; ///< maintained by the holder
     state::time_point traffic_known_until_{}; ///< end of the last division of limits by traffic
 
     /// Held while the servers' table is told the rank, so that it gets the newest last.
