Try servers directly that are listed after their service was lost

A service that was lost counted as not reached for servers as well that had not been tried.

A server that was listed after the loss is now tried directly.

--- a/src/coordination/service_reach.cpp
+++ b/src/coordination/service_reach.cpp
@@ -148,6 +148,17 @@
            std::holds_alternative<service_unreachable>(found->second.state);
 }
 
+bool service_reach::may_reach(
+    state::service_id const& service, state::time_point first_listed_at) const
+{
+    state::ranked_lock lock(mutex_);
+    auto const found = entries_.find(service);
+    if (found == entries_.end())
+        return true;
+    auto const* lost = std::get_if<service_unreachable>(&found->second.state);
+    return !lost || first_listed_at > lost->since;
+}
+
 std::map<state::service_id, state::time_point> service_reach::unreachable() const
 {
     state::ranked_lock lock(mutex_);
--- a/src/coordination/service_reach.hpp
+++ b/src/coordination/service_reach.hpp
@@ -95,6 +95,10 @@
 
     bool is_unreachable(state::service_id const& service) const;
 
+    /// Whether a server of the service may be tried directly: the service is reached, or the server
+    /// was listed after it was lost and was not tried yet.
+    bool may_reach(state::service_id const& service, state::time_point first_listed_at) const;
+
     /// Services of which no server is reached, with the time since when.
     std::map<state::service_id, state::time_point> unreachable() const;
 
--- a/src/transport/attempt_path.cpp
+++ b/src/transport/attempt_path.cpp
@@ -12,11 +12,12 @@
     peer_.reset();
 }
 
-bool attempt_path::choose(state::service_id const& service)
+bool attempt_path::choose(state::server_view const& server)
 {
     leave();
     auto& tables = context_.tables;
-    if (!tables.reach.is_unreachable(service))
+    auto const& service = server.listed.service;
+    if (tables.reach.may_reach(service, server.first_listed_at))
         return true;
     peer_ = tables.relays.choose(service, now(), worker_.random());
     if (!peer_)
--- a/src/transport/attempt_path.hpp
+++ b/src/transport/attempt_path.hpp
@@ -25,8 +25,8 @@
     ~attempt_path() { leave(); }
 
     /// Chooses the path of the next attempt.
-    /// @return false when the service is not reached and no peer is left
-    bool choose(state::service_id const& service);
+    /// @return false when the server is not reached and no peer is left
+    bool choose(state::server_view const& server);
 
     bool is_relayed() const { return peer_.has_value(); }
 
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -281,7 +281,7 @@
 
 net::awaitable<void> forwarder::run_attempt(state::server_view const& server)
 {
-    bool const has_path = path_.choose(service_);
+    bool const has_path = path_.choose(server);
     recorder_.begin_attempt(path_.is_relayed());
     if (!has_path)
     {
--- a/src/transport/relay_handler.cpp
+++ b/src/transport/relay_handler.cpp
@@ -97,7 +97,7 @@
     auto const server = tables.servers.view(head_.server);
     if (!server)
         return refused{refusal_reason::relay_unavailable, "unknown_server"};
-    if (tables.reach.is_unreachable(server->listed.service))
+    if (!tables.reach.may_reach(server->listed.service, server->first_listed_at))
         return refused{refusal_reason::relay_unavailable, "unreachable"};
     if (!tables.servers.try_send(head_.server, now()))
         return refused{refusal_reason::relay_unavailable, "server_closed"};
--- a/tests/unit/service_reach_test.cpp
+++ b/tests/unit/service_reach_test.cpp
@@ -145,6 +145,16 @@
     EXPECT_EQ(reach.take_due_probes(now).size(), 1u);
 }
 
+// A server that is listed after all others have ended must get requests at once.
+TEST_F(service_reach_test, server_listed_after_the_loss_may_be_reached)
+{
+    auto const before = now - 1s;
+    EXPECT_TRUE(reach.may_reach(service, before));
+    lose_service();
+    EXPECT_FALSE(reach.may_reach(service, before));
+    EXPECT_TRUE(reach.may_reach(service, now + 1s));
+}
+
 TEST_F(service_reach_test, other_service_is_not_affected)
 {
     lose_service();
