Give the headers of relaying names of their own

Auburnweir-Relay and Auburnweir-Relayed looked like names of the platform, whose words stay in platform/. They pass between gateways alone and are now Relay-Attempt and Relayed-From.

--- a/src/protocol/relay_head.hpp
+++ b/src/protocol/relay_head.hpp
@@ -14,11 +14,11 @@
 {
 
 /// Header of a request to be relayed, which names the server.
-inline constexpr std::string_view relay_header = "Auburnweir-Relay";
+inline constexpr std::string_view relay_header = "Relay-Attempt";
 
 /// Header of a response that came from the server. A response without it says that the request was
 /// not sent to the server.
-inline constexpr std::string_view relayed_header = "Auburnweir-Relayed";
+inline constexpr std::string_view relayed_header = "Relayed-From";
 
 /// What an instance asks for beside the request itself.
 struct relay_head
--- a/tests/integration/gateway_cut_test.cpp
+++ b/tests/integration/gateway_cut_test.cpp
@@ -133,7 +133,7 @@
     auto const response = system.send_request("/flow/stream/x", "f");
     EXPECT_EQ(response.status, 200);
     EXPECT_NE(response.body.find("id: 10\ndata: token-10\n\n"), std::string::npos);
-    EXPECT_EQ(response.header("Auburnweir-Relayed"), "");
+    EXPECT_EQ(response.header("Relayed-From"), "");
 }
 
 TEST_F(gateway_cut_test, relayed_stream_that_breaks_off_resumes)
@@ -260,7 +260,7 @@
     auto const port = system.gateway(1).port("relay");
     header_list headers{{"Host", "calls.test"}, {"Auburnweir-Attempt-Id", "t"}};
     EXPECT_EQ(call(port, "POST", "/safe/x", headers, "order").status, 403);
-    headers.emplace_back("Auburnweir-Relay", "gateway-1,backend-1,once,1,0123456789abcdef");
+    headers.emplace_back("Relay-Attempt", "gateway-1,backend-1,once,1,0123456789abcdef");
     EXPECT_EQ(call(port, "POST", "/safe/x", headers, "order").status, 403);
     EXPECT_EQ(system.run_count("t"), 0);
 }
