Log the service of requests and why a refused one was not retried

Cause: a refusal named neither its service nor why no further attempt followed, so that a spent retry budget could not be told from servers that are full. Change: `service` in the lines of finished, refused and broken off requests; `gave_up` in those of refused ones, and the counters of give-ups also count requests that were answered as not run.

--- a/src/coordination/attempt_policy.cpp
+++ b/src/coordination/attempt_policy.cpp
@@ -24,15 +24,23 @@
     return progress.attempts < limits.max_attempts && progress.time_left >= limits.min_time_left;
 }
 
+/// Why an attempt that may run again, or has not run, is not followed by another.
+give_up_reason give_up_cause_of_repeatable(
+    attempt_progress const& progress, attempt_limits const& limits, bool budget_left)
+{
+    if (progress.attempts >= limits.max_attempts)
+        return give_up_reason::attempts_exhausted;
+    return budget_left ? give_up_reason::deadline_too_close : give_up_reason::budget_exhausted;
+}
+
 give_up_reason give_up_cause(
     attempt_progress const& progress, attempt_limits const& limits, bool budget_left)
 {
     if (progress.retry == state::retry_rule::at_most_once)
         return give_up_reason::not_idempotent;
-    if (progress.possibly_executed >= progress.max_possibly_executed ||
-        progress.attempts >= limits.max_attempts)
+    if (progress.possibly_executed >= progress.max_possibly_executed)
         return give_up_reason::attempts_exhausted;
-    return budget_left ? give_up_reason::deadline_too_close : give_up_reason::budget_exhausted;
+    return give_up_cause_of_repeatable(progress, limits, budget_left);
 }
 
 } // namespace
@@ -72,7 +80,8 @@
                 bool const has_no_link = attempt.cause == retry_reason::connect_failed ||
                                          attempt.cause == retry_reason::relay_refused;
                 return reply_not_run{
-                    has_no_link ? refusal_reason::no_backend : refusal_reason::backend_full};
+                    has_no_link ? refusal_reason::no_backend : refusal_reason::backend_full,
+                    give_up_cause_of_repeatable(progress, limits, budget_left)};
             },
             [&](attempt_lost const& attempt) -> attempt_decision
             {
--- a/src/coordination/attempt_policy.hpp
+++ b/src/coordination/attempt_policy.hpp
@@ -68,6 +68,7 @@
 struct reply_not_run
 {
     state::refusal_reason reason;
+    state::give_up_reason cause;
 };
 
 /// Reply with an error that does not state whether the request ran.
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -471,7 +471,7 @@
     auto const* unknown = std::get_if<coordination::reply_outcome_unknown>(&decision);
     if (!unknown)
         co_return true;
-    context_.tables.counters.increment(unknown->cause);
+    give_up(unknown->cause);
     log_attempt(server, "status_" + std::to_string(status), name_of(unknown->cause));
     co_await finish_with_unknown_outcome(unknown->reason);
     co_return false;
@@ -500,17 +500,24 @@
     done_ = true;
     if (auto const* refused = std::get_if<coordination::reply_not_run>(&decision))
     {
+        give_up(refused->cause);
         log_attempt(server, name_of(refused->reason), "refuse");
         co_await finish_not_run(refused->reason);
     }
     else if (auto const* unknown = std::get_if<coordination::reply_outcome_unknown>(&decision))
     {
-        context_.tables.counters.increment(unknown->cause);
+        give_up(unknown->cause);
         log_attempt(server, name_of(unknown->reason), name_of(unknown->cause));
         co_await finish_with_unknown_outcome(unknown->reason);
     }
 }
 
+void forwarder::give_up(state::give_up_reason cause)
+{
+    gave_up_ = cause;
+    context_.tables.counters.increment(cause);
+}
+
 net::awaitable<void> forwarder::finish_not_run(refusal_reason reason, state::duration retry_after)
 {
     done_ = true;
@@ -534,7 +541,7 @@
         co_await finish_not_run(reason, segment.remaining);
         co_return;
     }
-    context_.tables.counters.increment(state::give_up_reason::segment_quarantined);
+    give_up(state::give_up_reason::segment_quarantined);
     co_await finish_with_unknown_outcome(refusal_reason::backend_failed);
 }
 
@@ -582,7 +589,8 @@
 
 logged_request forwarder::logged() const
 {
-    return {forwarded_, route_, progress_.attempts, arrived_at_, route_added_in_};
+    return {forwarded_, route_,  progress_.attempts, arrived_at_, route_added_in_,
+            service_,   gave_up_};
 }
 
 void forwarder::log_attempt(
--- a/src/transport/forwarder.hpp
+++ b/src/transport/forwarder.hpp
@@ -49,6 +49,8 @@
     net::awaitable<bool> relays_failure(state::server_view const& server, http_stream& response);
     net::awaitable<void> handle_failed_attempt(
         state::server_view const& server, coordination::failed_attempt_kind failed);
+    /// Records why the failed attempt is not followed by another.
+    void give_up(state::give_up_reason cause);
     net::awaitable<void> finish_not_run(
         state::refusal_reason reason, state::duration retry_after = retry_delay_when_full);
     net::awaitable<void> finish_quarantined(quarantine_refusal const& refused);
@@ -90,6 +92,7 @@
     std::optional<server_selector> selector_; ///< the same
     state::listed_server streaming_server_;   ///< whose stream is relayed
     std::string resume_after_;
+    std::optional<state::give_up_reason> gave_up_;
     std::string quarantined_segment_; ///< id of the segment for which the request is refused
     bool done_ = false;
     bool caller_left_ = false;
--- a/src/transport/request_log.hpp
+++ b/src/transport/request_log.hpp
@@ -24,6 +24,9 @@
     state::time_point arrived_at{};
     /// That added the route while this process ran; null otherwise.
     std::optional<state::configuration_version> route_added_in;
+    state::service_id service; ///< that the route selects; empty when the request was not admitted
+    /// Why the last failed attempt was not followed by another; null when there was no reason to.
+    std::optional<state::give_up_reason> gave_up;
 };
 
 /// The configuration that a request was handled with.
--- a/tests/unit/attempt_policy_test.cpp
+++ b/tests/unit/attempt_policy_test.cpp
@@ -93,6 +93,7 @@
     auto const d = decide_attempt(overloaded, p, false);
     ASSERT_TRUE(is<reply_not_run>(d));
     EXPECT_EQ(std::get<reply_not_run>(d).reason, state::refusal_reason::backend_full);
+    EXPECT_EQ(std::get<reply_not_run>(d).cause, state::give_up_reason::budget_exhausted);
 }
 
 TEST_F(attempt_policy_test, decide_when_an_earlier_attempt_may_have_run_never_replies_not_run)
