--- a/tests/support/gateway_deployment.cpp
+++ b/tests/support/gateway_deployment.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <fstream>
 #include <numeric>
+#include <set>
 #include <thread>
 
 namespace auburnweir::tests
@@ -54,7 +55,9 @@
     return plan_.log_folder.empty() ? folder_ : plan_.log_folder;
 }
 
-json gateway_deployment::route(std::string const& name, std::string const& kind, int attempts) const
+json gateway_deployment::route(
+    std::string const& name, std::string const& kind, int attempts,
+    std::string const& service) const
 {
     return {
         {"name", name},
@@ -64,7 +67,7 @@
         {"timeoutMs", plan_.route_timeout_ms},
         {"sloMs", 500},
         {"priority", 1},
-        {"service", "desk"},
+        {"service", service},
         {"maxAttempts", attempts},
         {"anonymous", false},
         {"sticky", false},
@@ -106,8 +109,8 @@
             // The sanitizer's runtime is not the first library then.
             "ASAN_OPTIONS=verify_asan_link_order=0"};
     for (auto const& word :
-         {program_path("auburnweir-gateway"), std::string{"--settings"}, path,
-          std::string{"--seed"}, std::to_string(index + 1)})
+         {gateway_program(index), std::string{"--settings"}, path, std::string{"--seed"},
+          std::to_string(index + 1)})
         command.push_back(word);
     auto new_process = std::make_unique<process>(std::move(command));
     new_process->append_output_to(log_folder() + "/gateway-" + std::to_string(index + 1) + ".log");
@@ -126,6 +129,20 @@
         caller_proxy_ports_[index] = callers;
 }
 
+void gateway_deployment::set_gateway_build(int index, std::string folder)
+{
+    auto& builds = plan_.gateway_builds;
+    builds.resize(std::max(builds.size(), static_cast<std::size_t>(index) + 1));
+    builds[index] = std::move(folder);
+}
+
+std::string gateway_deployment::gateway_program(int index) const
+{
+    auto const& builds = plan_.gateway_builds;
+    bool const is_own = static_cast<std::size_t>(index) >= builds.size() || builds[index].empty();
+    return is_own ? program_path("auburnweir-gateway") : builds[index] + "/auburnweir-gateway";
+}
+
 std::string gateway_deployment::cut_file(int gateway) const
 {
     return folder_ + "/cut-" + std::to_string(gateway);
@@ -236,13 +253,17 @@
         {"routes", json::array(
                        {route("safe", "safe", 2), route("once", "unsafe", 1),
                         route("stream", "streaming", 2), flow})},
-        {"services",
-         json::array({{{"name", "desk"}, {"healthPath", "/healthz"}, {"maxConns", 100}}})},
+        {"services", json::array()},
         {"limits",
          {{"maxHeaderBytes", 4096},
           {"maxBodyBytes", 65536},
           {"headerTimeoutMs", 1000},
           {"idleTimeoutMs", 5000}}}};
+    std::set<std::string> services{"desk"};
+    services.insert(plan_.backend_services.begin(), plan_.backend_services.end());
+    for (auto const& service : services)
+        config["services"].push_back(
+            {{"name", service}, {"healthPath", "/healthz"}, {"maxConns", 100}});
     if (!plan_.organisations.empty())
         config["tenants"] = plan_.organisations;
     if (change)
@@ -284,20 +305,44 @@
     int index, std::string const& server_state, std::string const& version,
     std::int64_t incarnation)
 {
-    json const entry{
-        {"service", "desk"},
+    write_backend_row(
+        backend_name(index), index,
+        {{"state", server_state}, {"version", version}, {"born", incarnation}});
+}
+
+std::string gateway_deployment::service_of_backend(int index) const
+{
+    auto const& services = plan_.backend_services;
+    return static_cast<std::size_t>(index) < services.size() ? services[index] : "desk";
+}
+
+void gateway_deployment::write_backend_row(std::string const& key, int index, json const& changes)
+{
+    json entry{
+        {"service", service_of_backend(index)},
         {"address", "127.0.0.1:" + std::to_string(backend_proxy_ports_.at(index))},
         {"zone", domain(index)},
-        {"version", version},
+        {"version", "v1"},
         {"slots", 8},
-        {"state", server_state},
+        {"state", "ready"},
         {"coldRemainingMs", 0},
         {"sequence", 1},
-        {"born", incarnation}};
-    json const row{{"table", "servers"}, {"key", backend_name(index)}, {"value", entry.dump()}};
+        {"born", 1000}};
+    entry.update(changes);
+    json const row{{"table", "servers"}, {"key", key}, {"value", entry.dump()}};
     control(*store_, {{"put", json::array({row})}});
 }
 
+void gateway_deployment::replace_backend(int index, std::string const& name)
+{
+    backend(index).kill();
+    backends_.at(index) =
+        std::make_unique<process>(std::vector{program_path("standin-routed-backend"), name});
+    set_proxy_faults(
+        backend_proxy_ports_.at(index),
+        {{"target", "127.0.0.1:" + std::to_string(backend(index).port())}});
+}
+
 void gateway_deployment::remove_backend(int index)
 {
     json const row{{"table", "servers"}, {"key", backend_name(index)}};
--- a/tests/support/gateway_deployment.hpp
+++ b/tests/support/gateway_deployment.hpp
@@ -23,7 +23,10 @@
     int failure_domains = 1; ///< gateways and backends are assigned round-robin
     std::map<std::string, std::string> settings; ///< of `[gateway]`, over the defaults
     int route_timeout_ms = 4000;
-    json organisations = json::array(); ///< of each configuration
+    json organisations = json::array();        ///< of each configuration
+    std::vector<std::string> backend_services; ///< of each backend; those beyond serve `desk`
+    /// Folder with the gateway's program of each gateway; empty or beyond: this build's.
+    std::vector<std::string> gateway_builds;
 };
 
 /// Real processes on loopback: the store, backend servers and gateways.
@@ -89,6 +92,13 @@
         std::int64_t incarnation = 1000);
     void remove_backend(int index);
 
+    /// Kills a backend and starts another one with the id `name` at its address. Only with
+    /// `proxied`. The directory goes on naming the old one.
+    void replace_backend(int index, std::string const& name);
+
+    /// Writes a row of the directory that names a backend's address.
+    void write_backend_row(std::string const& key, int index, json const& changes = {});
+
     /// Calls of holders' duties that the store has received.
     json duties();
 
@@ -111,11 +121,18 @@
     /// Starts a gateway, or starts it again when its process has ended.
     void start_gateway(int index);
 
+    /// Sets the build that a gateway runs when it is started the next time.
+    void set_gateway_build(int index, std::string folder);
+
     /// A route of a configuration.
-    json route(std::string const& name, std::string const& kind, int attempts) const;
+    json route(
+        std::string const& name, std::string const& kind, int attempts,
+        std::string const& service = "desk") const;
 
 private:
     std::string domain(int index) const;
+    std::string gateway_program(int index) const;
+    std::string service_of_backend(int index) const;
     std::string cut_file(int gateway) const;
     std::string const& log_folder() const;
 
