Send nothing to servers at whose address another one answers (CONFIG)

What callers saw: requests to a service with few servers were refused with backend_full after one attempt, while a sound server of the service was idle. Cause: a server that another one has replaced at its address refuses each request at once (421). It looked idle, was chosen again and again until its row expired, and each refusal was paid from the service's retry budget, which is small where requests are few. The budget spent, any refusal ended the request. Class: a verdict that is forgotten after 300 ms, although what it says holds until the directory changes. Change: such a server gets nothing until it is listed anew, or for 2 to 8 s.

--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -135,6 +135,7 @@
         "attempts_relayed",
         "attempts_relayed_for_others",
         "crashes_discounted",
+        "backends_replaced",
     };
 
 } // namespace
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -145,6 +145,7 @@
     attempts_relayed,            ///< by other instances, as this one did not reach the service
     attempts_relayed_for_others, ///< to servers, as another instance did not reach them
     crashes_discounted,          ///< the link to the servers was cut
+    backends_replaced,           ///< another server answered at their addresses
     count_
 };
 
--- a/src/state/server_pool.hpp
+++ b/src/state/server_pool.hpp
@@ -27,12 +27,18 @@
 {
 };
 
+/// Another server answers at the server's address, so a request would be refused there.
+struct server_replaced
+{
+};
+
 /// The request may not be sent to the server: its failure domain is not permitted or is evacuated.
 struct server_barred
 {
 };
 
-using server_availability = std::variant<server_open, server_closed, server_leaving, server_barred>;
+using server_availability =
+    std::variant<server_open, server_closed, server_leaving, server_replaced, server_barred>;
 
 /// When a server wants requests again: after a time, or at a moment of true time.
 using return_time = std::variant<duration, wall_time>;
--- a/src/state/server_table.cpp
+++ b/src/state/server_table.cpp
@@ -22,6 +22,11 @@
 constexpr duration min_unconnected_time = std::chrono::seconds{1};
 constexpr duration max_unconnected_time = std::chrono::seconds{4};
 constexpr int max_connect_failures = 3; ///< after which the time does not grow
+
+/// Time for which a server gets no requests at whose address another one answers; doubles each
+/// time. The directory drops a server that has gone within some seconds.
+constexpr duration min_replaced_time = std::chrono::seconds{2};
+constexpr int max_replaced_doublings = 2;
 } // namespace
 
 server_table::change server_table::apply(
@@ -156,6 +161,8 @@
 {
     if (e.leaving || is_expired(e, now))
         return server_leaving{};
+    if (e.replaced_until && *e.replaced_until > now)
+        return server_replaced{};
     auto const& domain = e.view.listed.failure_domain;
     if (evacuated_.contains(domain) || !permits(rule, domain))
         return server_barred{};
@@ -193,7 +200,8 @@
                 [&](server_closed closed) {
                     result.closed.push_back({view.listed.id, closed.until});
                 },
-                [](server_leaving) {}, [&](server_barred) { ++result.barred; }},
+                [](server_leaving) {}, [](server_replaced) {},
+                [&](server_barred) { ++result.barred; }},
             availability_of(item.second, rule, now));
     }
     if (result.open.empty())
@@ -548,6 +556,20 @@
     v.connect_failures = std::min(v.connect_failures + 1, max_connect_failures);
 }
 
+bool server_table::record_replaced(
+    backend_id const& id, incarnation_number incarnation, time_point now)
+{
+    ranked_lock lock(mutex_);
+    auto const it = entries_.find(id);
+    if (it == entries_.end() || it->second.view.listed.incarnation != incarnation)
+        return false;
+    auto& e = it->second;
+    auto const doublings = std::min(e.replacements, max_replaced_doublings);
+    e.replaced_until = now + min_replaced_time * (1 << doublings);
+    ++e.replacements;
+    return true;
+}
+
 void server_table::record_link(service_id const& service)
 {
     ranked_lock lock(mutex_);
--- a/src/state/server_table.hpp
+++ b/src/state/server_table.hpp
@@ -234,6 +234,12 @@
     /// with each failure, until it responds.
     void record_unconnected(backend_id const& id, time_point now);
 
+    /// Records that another server answers at the address of this incarnation. It gets no requests
+    /// until the directory lists another incarnation or address, or for a time that grows with each
+    /// such answer, as a faulty server may give one.
+    /// @return false when the directory lists another incarnation by now
+    bool record_replaced(backend_id const& id, incarnation_number incarnation, time_point now);
+
     /// Records that the link to a service's servers is back: none is avoided for lack of one.
     void record_link(service_id const& service);
 
@@ -254,6 +260,8 @@
         std::optional<time_point> stated_cold_until; ///< by the newer of its row and its responses
         std::optional<time_point> row_cold_until;    ///< by its row
         std::optional<assumed_cold> assumed;         ///< null once the server has said more
+        std::optional<time_point> replaced_until;    ///< another server answers at the address
+        int replacements = 0;                        ///< times that one has answered
         cold_limit cold;
     };
 
--- a/src/transport/attempt_recorder.cpp
+++ b/src/transport/attempt_recorder.cpp
@@ -109,6 +109,19 @@
         record_return_time(server, *response.returns);
 }
 
+void attempt_recorder::record_replaced(state::server_view const& server)
+{
+    auto& tables = context_.tables;
+    auto const& listed = server.listed;
+    if (!tables.servers.record_replaced(listed.id, listed.incarnation, now()))
+        return;
+    tables.counters.increment(state::event_counter::backends_replaced);
+    log(log_event::backend_replaced,
+        {{"backend", listed.id.str()},
+         {"address", listed.address.host + ":" + std::to_string(listed.address.port)},
+         {"life", std::to_string(listed.incarnation.count())}});
+}
+
 void attempt_recorder::record_cold(state::server_view const& server, state::duration cold_for)
 {
     auto& tables = context_.tables;
--- a/src/transport/attempt_recorder.hpp
+++ b/src/transport/attempt_recorder.hpp
@@ -39,6 +39,9 @@
     /// Records what a response says of its server.
     void record_statements(state::server_view const& server, backend_headers const& response);
 
+    /// Records that another server has answered at the server's address.
+    void record_replaced(state::server_view const& server);
+
     /// Records times between events of a stream of the server, for its rating.
     void record_intervals(
         state::listed_server const& server, state::event_intervals const& intervals);
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -386,6 +386,8 @@
         co_await response.discard_rest();
         recorder_.record_end(server, server_outcome::refused);
         bool const misdirected = status == status_misdirected;
+        if (misdirected)
+            recorder_.record_replaced(server);
         co_await handle_failed_attempt(
             server, attempt_not_run{
                         misdirected ? retry_reason::other_backend_at_address
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -138,6 +138,9 @@
          "this instance's rank among the known instances has changed; it decides which cold "
          "servers "
          "get requests from here"},
+        {e::backend_replaced, l::warning, "backend_replaced",
+         "another server answered at the address of a backend server, which gets no requests until "
+         "the directory lists it anew, or for a time"},
         {e::stream_moved, l::info, "stream_moved", "an answer continues on another backend server"},
         {e::stream_failed, l::warning, "stream_failed", "an answer could not be completed"},
         {e::journal_adopted, l::warning, "journal_adopted",
--- a/src/transport/log.hpp
+++ b/src/transport/log.hpp
@@ -52,6 +52,7 @@
     domain_returned = 2122,
     backend_cold = 2123,
     instance_ranked = 2124,
+    backend_replaced = 2125,
     stream_moved = 2201,
     stream_failed = 2202,
     journal_adopted = 2203,
--- a/src/transport/relay_handler.cpp
+++ b/src/transport/relay_handler.cpp
@@ -196,6 +196,8 @@
     recorder_.record_statements(server, stated);
     if (stated.not_run)
         response.record_refusal(forwarded_.id);
+    if (stated.not_run && status == status_misdirected)
+        recorder_.record_replaced(server);
     auto outcome = co_await relay_body(server, response);
     if (outcome == server_outcome::answered && stated.not_run)
         outcome = server_outcome::refused;
--- a/tests/integration/gateway_small_service_test.cpp
+++ b/tests/integration/gateway_small_service_test.cpp
@@ -144,6 +144,18 @@
     expect_all_served_after_recovery();
 }
 
+// CONFIG: two of three servers had been replaced at their addresses and refused each request at
+// once, until the retry budget was spent and the sound one's requests were refused as well.
+TEST_F(gateway_small_service_test, replaced_servers_cost_no_request_that_the_sound_one_can_serve)
+{
+    system.replace_backend(1, "other-1");
+    system.replace_backend(2, "other-2");
+    play(milliseconds{12000});
+    expect_all_served(added);
+    expect_all_served(first_on_desk);
+    EXPECT_EQ(sum_of_counters("auburnweir_give_ups_total{reason=\"budget_exhausted\"}"), 0);
+}
+
 TEST_F(gateway_small_service_test, servers_that_fall_silent_for_a_second_serve_added_routes)
 {
     play_cycles(
