Probe all services after one of them fails, and avoid servers whose hosts are silent

What callers saw: at a gateway that had lost its links, requests to the service with few requests, those on added routes among them, waited for their deadline or were refused longer than those to the engines. Cause: the loss of links was learned per service, from two failures of that service's own requests; a server that acknowledged nothing was chosen again, so the second failure came late. Class: a verdict that needs several samples of something that is seldom asked for. The preloaded library can let open connections hang.

--- a/src/coordination/service_reach.cpp
+++ b/src/coordination/service_reach.cpp
@@ -76,6 +76,13 @@
     e.state = service_suspected{now};
 }
 
+void service_reach::suspect_others(state::service_id const& service, state::time_point now)
+{
+    for (auto& [other, e] : entries_)
+        if (other != service)
+            suspect(e, now);
+}
+
 std::vector<reach_probe> service_reach::take_due_probes(state::time_point now)
 {
     state::ranked_lock lock(mutex_);
@@ -134,6 +141,7 @@
     {
         s->is_confirming = true;
         s->probe_is_running = false;
+        suspect_others(service, now);
         return reach_change::none;
     }
     e.state = service_unreachable{now, now + probe_interval};
--- a/src/coordination/service_reach.hpp
+++ b/src/coordination/service_reach.hpp
@@ -18,7 +18,8 @@
 enum class link_failure : std::uint8_t
 {
     connect_failed, ///< no new connection
-    lost            ///< an open connection broke off or acknowledges nothing
+    lost,           ///< an open connection broke off
+    unacknowledged  ///< the host acknowledges nothing on an open connection
 };
 
 /// Servers of a service to which new connections are tried.
@@ -129,6 +130,9 @@
 
     static void suspect(entry& e, state::time_point now);
 
+    /// A cut mostly affects the links to all services, and one with few requests would show it late.
+    void suspect_others(state::service_id const& service, state::time_point now);
+
     mutable state::ranked_mutex mutex_{state::lock_rank::service_reach};
     std::map<state::service_id, entry> entries_;
 };
--- a/src/state/server_table.hpp
+++ b/src/state/server_table.hpp
@@ -230,8 +230,8 @@
         backend_id const& id, server_outcome outcome, time_point now);
     void eject(backend_id const& id, time_point until);
 
-    /// Records that a server accepts no connection from here. It is avoided for a time that grows
-    /// with each failure, until it responds.
+    /// Records that a server accepts no connection from here, or acknowledges nothing on one. It is
+    /// avoided for a time that grows with each failure, until it responds.
     void record_unconnected(backend_id const& id, time_point now);
 
     /// Records that another server answers at the address of this incarnation. It gets no requests
--- a/src/transport/attempt_recorder.cpp
+++ b/src/transport/attempt_recorder.cpp
@@ -55,7 +55,7 @@
     auto const servers = context_.tables.servers.all(server.listed.service).size();
     context_.tables.reach.record_failure(
         server.listed.service, server.listed.id, failure, servers, now());
-    if (failure == coordination::link_failure::connect_failed)
+    if (failure != coordination::link_failure::lost)
         context_.tables.servers.record_unconnected(server.listed.id, now());
 }
 
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -322,7 +322,7 @@
         return filter.owner_of(status, headers);
     };
     policy.on_unacknowledged = [this, &server]
-    { recorder_.record_link_failure(server, coordination::link_failure::lost); };
+    { recorder_.record_link_failure(server, coordination::link_failure::unacknowledged); };
 
     relay_->begin_attempt();
     ++progress_.attempts;
--- a/src/transport/relay_handler.cpp
+++ b/src/transport/relay_handler.cpp
@@ -155,7 +155,7 @@
     policy.owner_of = [&filter](int status, http_fields const& headers)
     { return filter.owner_of(status, headers); };
     policy.on_unacknowledged = [this, &server]
-    { recorder_.record_link_failure(server, coordination::link_failure::lost); };
+    { recorder_.record_link_failure(server, coordination::link_failure::unacknowledged); };
 
     auto opened = co_await worker_.http().open(server.listed.address, std::move(call), policy);
     if (opened)
--- a/tests/integration/gateway_small_service_test.cpp
+++ b/tests/integration/gateway_small_service_test.cpp
@@ -35,6 +35,7 @@
         result.backends = 2 * servers;
         result.backend_services = {"desk", "desk", "desk", "engine", "engine", "engine"};
         result.proxied = true;
+        result.may_be_cut = true;
         result.route_timeout_ms = 1500;
         result.organisations =
             json::array({{{"name", "lanterns"}, {"apiKeys", json::array({"key-1"})}}});
@@ -63,6 +64,18 @@
                 3000);
     }
 
+    /// Sends requests on all routes, at the first gateway alone, for `length`.
+    void play_at_first_gateway(milliseconds length, std::function<void()> const& meanwhile)
+    {
+        header_list const key{{"Authorization", "Token key-1"}};
+        auto outcomes = run_open_load(
+            system, {{"/added/", 4, 1, {}}, {"/safe/", 2, 1, key}, {"/engine/", 20, 1, key}},
+            length, meanwhile);
+        added = std::move(outcomes[0]);
+        first_on_desk = std::move(outcomes[1]);
+        first_on_engine = std::move(outcomes[2]);
+    }
+
     /// Sends requests on all routes for `length` while `meanwhile` runs.
     void play(
         milliseconds length, std::function<void()> const& meanwhile = [] {})
@@ -228,5 +241,28 @@
     expect_all_served_after_recovery();
 }
 
+// CONFIG: a gateway noticed later that it had lost its links to a service with few requests than to
+// one with many, and refused requests on added routes meanwhile.
+TEST_F(gateway_small_service_test, gateway_whose_links_hang_serves_added_routes_like_first_ones)
+{
+    constexpr int cuts = 4;
+    constexpr milliseconds cut_time{3000};
+    constexpr milliseconds healed_time{1500};
+    play_at_first_gateway(
+        cuts * (cut_time + healed_time),
+        [&]
+        {
+            for (int i = 0; i < cuts; ++i)
+            {
+                std::this_thread::sleep_for(healed_time);
+                system.cut_off(0, gateway_deployment::cut_kind::hanging);
+                std::this_thread::sleep_for(cut_time);
+                system.heal(0);
+            }
+        });
+    EXPECT_GE(lowest_relative_share(added, first_on_engine), min_relative_share);
+    expect_all_served_after_recovery();
+}
+
 } // namespace
 } // namespace auburnweir::tests
--- a/tests/support/gateway_deployment.cpp
+++ b/tests/support/gateway_deployment.cpp
@@ -15,6 +15,21 @@
 namespace
 {
 
+char const* word_of(gateway_deployment::cut_kind kind)
+{
+    using cut_kind = gateway_deployment::cut_kind;
+    switch (kind)
+    {
+    case cut_kind::refused:
+        return "refuse";
+    case cut_kind::dropped:
+        return "drop";
+    case cut_kind::hanging:
+        break;
+    }
+    return "hang";
+}
+
 std::string backend_name(int index)
 {
     return "backend-" + std::to_string(index + 1);
@@ -160,8 +175,7 @@
     auto const new_file = cut_file(gateway) + ".new";
     std::ofstream text(new_file);
     for (auto const index : backends)
-        text << (kind == cut_kind::refused ? "refuse " : "drop ") << backend_proxy_ports_.at(index)
-             << "\n";
+        text << word_of(kind) << ' ' << backend_proxy_ports_.at(index) << "\n";
     text.close();
     std::filesystem::rename(new_file, cut_file(gateway));
     bool const resets = proxy_ && kind == cut_kind::refused;
--- a/tests/support/gateway_deployment.hpp
+++ b/tests/support/gateway_deployment.hpp
@@ -108,7 +108,8 @@
     enum class cut_kind
     {
         refused, ///< new ones at once
-        dropped  ///< new ones get no answer
+        dropped, ///< new ones get no answer
+        hanging  ///< as `dropped`, and open ones pass nothing any more
     };
 
     /// Cuts a gateway off from all backends until it is healed. With `proxied`,
--- a/tests/unit/service_reach_test.cpp
+++ b/tests/unit/service_reach_test.cpp
@@ -1,5 +1,6 @@
 #include "coordination/service_reach.hpp"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace auburnweir::coordination
@@ -162,6 +163,33 @@
     EXPECT_EQ(reach.unreachable().size(), 1u);
 }
 
+// CONFIG: a service with few requests, added routes among them, was found lost seconds later than
+// one with many, and its requests waited for their deadline meanwhile.
+TEST_F(service_reach_test, failed_probe_of_a_service_has_the_others_probed)
+{
+    state::service_id const other{"with-few-requests"};
+    reach.record_contact(other, state::backend_id{"other-1"}, true, now);
+    fail(1);
+    fail(2);
+    reach.take_due_probes(now);
+    answer_probe(false);
+    auto const due = reach.take_due_probes(now);
+    EXPECT_TRUE(
+        std::ranges::any_of(due, [&](auto const& probe) { return probe.service == other; }));
+    reach.record_probe(other, true, {}, now);
+    EXPECT_FALSE(reach.is_unreachable(other));
+}
+
+TEST_F(service_reach_test, answered_probe_of_a_service_has_no_other_probed)
+{
+    reach.record_contact(state::service_id{"other"}, state::backend_id{"other-1"}, true, now);
+    fail(1);
+    fail(2);
+    reach.take_due_probes(now);
+    answer_probe(true);
+    EXPECT_TRUE(reach.take_due_probes(now).empty());
+}
+
 /// A server that broke off a request.
 class link_verdict_test : public service_reach_test
 {
