--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -65,6 +65,7 @@
     int seconds = 15;
     soak_size size;
     char* logs = nullptr;
+    char* builds = nullptr;
     poptOption const options[] = {
         {"first", 0, POPT_ARG_INT, &first, 0, "first seed", "N"},
         {"count", 0, POPT_ARG_INT, &count, 0, "number of seeds", "N"},
@@ -73,6 +74,8 @@
         {"backends", 0, POPT_ARG_INT, &size.backends, 0, "number of backend servers", "N"},
         {"callers", 0, POPT_ARG_INT, &size.callers, 0, "threads that send requests", "N"},
         {"logs", 0, POPT_ARG_STRING, &logs, 0, "folder for the gateways' logs", "FOLDER"},
+        {"builds", 0, POPT_ARG_STRING, &builds, 0,
+         "gateways change between this build and those in FOLDER/BUILD", "FOLDER"},
         POPT_AUTOHELP POPT_TABLEEND};
     programs::command_line line(argc, argv, options, "[OPTION...]");
     if (auto const error = line.parse(); !error.empty())
@@ -81,6 +84,11 @@
         return programs::exit_usage;
     }
     size.fault_phase_ms = seconds * 1000;
+    if (builds)
+    {
+        size.gateway_builds = tests::builds_in(builds);
+        size.gateway_builds.emplace_back();
+    }
     setpgid(0, 0);
     signal(SIGTERM, kill_process_group);
     signal(SIGINT, kill_process_group);
--- a/tests/soak/soak_plan.hpp
+++ b/tests/soak/soak_plan.hpp
@@ -16,6 +16,8 @@
     int backends = 4;
     int callers = 10;           ///< threads that send requests one after the other
     int fault_phase_ms = 15000; ///< how long faults are injected
+    /// Folders of the builds that gateways change between when they start; empty: this build.
+    std::vector<std::string> gateway_builds;
 };
 
 /// Kills a gateway with SIGKILL and starts it again after `down_ms`.
--- a/tests/support/gateway_deployment.cpp
+++ b/tests/support/gateway_deployment.cpp
@@ -2,6 +2,7 @@
 
 #include "support/deployment.hpp"
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -37,6 +38,15 @@
 
 } // namespace
 
+std::vector<std::string> builds_in(std::string const& folder)
+{
+    std::vector<std::string> folders;
+    for (auto const& entry : std::filesystem::directory_iterator(folder))
+        folders.push_back(entry.path().string());
+    std::ranges::sort(folders);
+    return folders;
+}
+
 gateway_deployment::gateway_deployment(gateway_deployment_plan plan)
     : plan_(std::move(plan))
 {
--- a/tests/support/gateway_deployment.hpp
+++ b/tests/support/gateway_deployment.hpp
@@ -12,6 +12,9 @@
 namespace auburnweir::tests
 {
 
+/// Folders below `folder`, each of which has another build's `auburnweir-gateway`.
+std::vector<std::string> builds_in(std::string const& folder);
+
 /// Size and settings of a deployment of gateways.
 struct gateway_deployment_plan
 {
