Prefer other servers for longer to one that refuses in a row (CONFIG)

What callers saw: where the near server of a service refuses each request at once, gateways with few requests refused them with backend_full after one attempt, while other servers of the service were idle. Cause: a refusal was forgotten after 300 ms. Where requests are rarer than that, each went to the near server again, which looks idle, and cost a retry; the budget of a service with few requests was spent in seconds. Class: as of the replaced servers, a verdict that is forgotten before the next request needs it. Change: the time grows with each refusal in a row, 0.3, 1.2 and 4.8 s; those at the same time count once, an answer ends the row, and a server that is the last one left is asked as before.

--- a/src/coordination/server_choice.cpp
+++ b/src/coordination/server_choice.cpp
@@ -18,9 +18,6 @@
 /// A load report loses its weight linearly over this time.
 constexpr state::duration report_validity = std::chrono::milliseconds{1500};
 
-/// A server that refused a request because it was full is avoided for this time.
-constexpr state::duration refusal_backoff = std::chrono::milliseconds{300};
-
 /// Part of its slots with which a cold server counts as loaded, at least.
 constexpr double cold_load_share = 0.5;
 
@@ -137,19 +134,14 @@
         return std::nullopt;
     bool const any_not_refusing = std::any_of(
         servers.begin(), servers.end(),
-        [&](server_view const& v) { return !refused_recently(v, now); });
+        [&](server_view const& v) { return !v.refused_recently(now); });
     if (any_not_refusing)
-        std::erase_if(servers, [&](server_view const& v) { return refused_recently(v, now); });
+        std::erase_if(servers, [&](server_view const& v) { return v.refused_recently(now); });
     return placed_server{choice(with_loads(std::move(servers), now), own_share), std::nullopt};
 }
 
 } // namespace
 
-bool refused_recently(server_view const& view, state::time_point now)
-{
-    return now - view.refused_at <= refusal_backoff;
-}
-
 std::optional<placed_server> place_request(
     choice_policy const& policy, std::vector<server_view> servers, choice_request const& request,
     state::time_point now, std::mt19937_64& random)
--- a/src/coordination/server_choice.hpp
+++ b/src/coordination/server_choice.hpp
@@ -74,9 +74,6 @@
     choice_policy const& policy, std::vector<state::server_view> servers,
     choice_request const& request, state::time_point now, std::mt19937_64& random);
 
-/// A server that refused a request because it was full is avoided for some time.
-bool refused_recently(state::server_view const& view, state::time_point now);
-
 /// Tokens of all prompt segments except the last one, which belongs to the request only.
 state::token_count shared_tokens_of(state::forwarded_request const& request);
 
--- a/src/coordination/weighted_choice.cpp
+++ b/src/coordination/weighted_choice.cpp
@@ -286,7 +286,7 @@
         c.weight = weights[i];
         c.slots = static_cast<double>(std::max<std::int64_t>(1, v.listed.slots));
         c.tried = request.tried_backends.contains(v.listed.id);
-        c.refusing = refused_recently(v, now);
+        c.refusing = v.refused_recently(now);
     }
     return all;
 }
--- a/src/state/server_table.cpp
+++ b/src/state/server_table.cpp
@@ -23,6 +23,13 @@
 constexpr duration max_unconnected_time = std::chrono::seconds{4};
 constexpr int max_connect_failures = 3; ///< after which the time does not grow
 
+/// Time for which others are preferred to a server that refused a request. It grows with each
+/// refusal in a row: where requests are rarer than the shortest time, each would be sent there
+/// first and cost a retry.
+constexpr duration min_full_time = std::chrono::milliseconds{300};
+constexpr int full_time_factor = 4;
+constexpr int max_refusals_in_row = 3; ///< after which the time does not grow
+
 /// Time for which a server gets no requests at whose address another one answers; doubles each
 /// time. The directory drops a server that has gone within some seconds.
 constexpr duration min_replaced_time = std::chrono::seconds{2};
@@ -500,6 +507,18 @@
     return result;
 }
 
+void server_table::record_refusal(server_view& v, time_point now)
+{
+    bool const is_next_in_row = now > v.full_until;
+    if (is_next_in_row)
+        v.refusals_in_row = std::min(v.refusals_in_row + 1, max_refusals_in_row);
+    auto full_time = min_full_time;
+    for (int i = 1; is_next_in_row && i < v.refusals_in_row; ++i)
+        full_time *= full_time_factor;
+    v.refused_at = now;
+    v.full_until = std::max(v.full_until, now + full_time);
+}
+
 std::optional<server_view> server_table::record_end(
     backend_id const& id, server_outcome outcome, time_point now)
 {
@@ -521,6 +540,8 @@
     case server_outcome::answered:
         v.failures_in_row = 0;
         v.failure_share *= 1 - failure_share_weight;
+        v.refusals_in_row = 0;
+        v.full_until = std::min(v.full_until, v.refused_at + min_full_time);
         break;
     case server_outcome::failed:
     case server_outcome::unreachable:
@@ -528,7 +549,7 @@
         v.failure_share += failure_share_weight * (1 - v.failure_share);
         break;
     case server_outcome::refused:
-        v.refused_at = now;
+        record_refusal(v, now);
         break;
     case server_outcome::abandoned:
         break;
--- a/src/state/server_table.hpp
+++ b/src/state/server_table.hpp
@@ -68,7 +68,9 @@
     int connect_failures = 0;                    ///< in a row, without a response in between
     std::optional<time_point> unconnected_until; ///< no connection is tried while others are left
     time_point first_listed_at{};
-    time_point refused_at{};                      ///< when the server last refused a request
+    int refusals_in_row = 0; ///< without an answer in between; those at the same time count once
+    time_point refused_at{}; ///< when the server last refused a request
+    time_point full_until{}; ///< others are preferred until then, as the server refused a request
     std::optional<time_point> unnamed_refusal_at; ///< when a refusal last named no request
     double failure_share = 0;                     ///< of recent requests, exponentially smoothed
     /// Set for a server that is no longer listed after a store outage: until when it is used.
@@ -85,6 +87,8 @@
                (unconnected_until && *unconnected_until > now);
     }
 
+    bool refused_recently(time_point now) const { return now <= full_until; }
+
     bool is_cold(time_point now) const { return cold_until && *cold_until > now; }
 };
 
@@ -273,6 +277,7 @@
     };
 
     static bool is_expired(entry const& e, time_point now);
+    static void record_refusal(server_view& v, time_point now);
     entry* entry_of(server_rating const& rating);
     /// @return true when it was not recorded before
     bool record_departure(backend_id const& id, incarnation_number incarnation, time_point now);
--- a/tests/integration/gateway_small_service_test.cpp
+++ b/tests/integration/gateway_small_service_test.cpp
@@ -28,9 +28,10 @@
     /// first routes.
     static constexpr double min_relative_share = 0.25;
 
-    static gateway_deployment_plan plan()
+    static gateway_deployment_plan plan(int failure_domains)
     {
         gateway_deployment_plan result;
+        result.failure_domains = failure_domains;
         result.gateways = gateways;
         result.backends = 2 * servers;
         result.backend_services = {"desk", "desk", "desk", "engine", "engine", "engine"};
@@ -44,7 +45,8 @@
         return result;
     }
 
-    gateway_small_service_test()
+    explicit gateway_small_service_test(int failure_domains = 1)
+        : system(plan(failure_domains))
     {
         auto const add_first_routes = [this](json& c)
         { c["routes"].push_back(system.route("engine", "safe", 2, "engine")); };
@@ -146,7 +148,7 @@
         return sum;
     }
 
-    gateway_deployment system{plan()};
+    gateway_deployment system;
     load_outcomes added;
     load_outcomes first_on_desk;
     load_outcomes first_on_engine;
@@ -169,6 +171,46 @@
     EXPECT_EQ(sum_of_counters("auburnweir_give_ups_total{reason=\"budget_exhausted\"}"), 0);
 }
 
+/// The same with a server of `desk` in the failure domain of each gateway, and as few requests at
+/// each as on a deployment of nine.
+class gateway_near_server_test : public gateway_small_service_test
+{
+protected:
+    gateway_near_server_test()
+        : gateway_small_service_test(3)
+    {
+    }
+
+    void play_few_requests(milliseconds length)
+    {
+        header_list const key{{"Authorization", "Token key-1"}};
+        auto outcomes = run_open_load(
+            system, {{"/added/", 4, gateways, {}}, {"/safe/", 4, gateways, key}}, length, [] {});
+        added = std::move(outcomes[0]);
+        first_on_desk = std::move(outcomes[1]);
+    }
+};
+
+// CONFIG: gateways whose near server refuses each request at once went on asking it first, until
+// the retry budget was spent and requests that the other servers could serve were refused.
+TEST_F(gateway_near_server_test, server_that_refuses_all_costs_no_request_that_others_can_serve)
+{
+    gateway_deployment::control(system.backend(0), {{"not_run", true}, {"names_refusals", true}});
+    play_few_requests(milliseconds{20000});
+    expect_all_served(added);
+    expect_all_served(first_on_desk);
+}
+
+TEST_F(gateway_near_server_test, servers_that_refuse_all_but_one_leave_requests_to_that_one)
+{
+    for (int i = 0; i < servers - 1; ++i)
+        gateway_deployment::control(
+            system.backend(i), {{"not_run", true}, {"names_refusals", true}});
+    play_few_requests(milliseconds{20000});
+    expect_all_served(added);
+    expect_all_served(first_on_desk);
+}
+
 TEST_F(gateway_small_service_test, servers_that_fall_silent_for_a_second_serve_added_routes)
 {
     play_cycles(
--- a/tests/unit/weighted_choice_test.cpp
+++ b/tests/unit/weighted_choice_test.cpp
@@ -354,7 +354,7 @@
     request.tried_backends.insert(first);
     auto& second = chosen(request);
     EXPECT_NE(second.listed.id, first);
-    second.refused_at = now - 100ms;
+    second.full_until = now + 200ms;
     auto const& third = chosen(request);
     EXPECT_NE(third.listed.id, first);
     EXPECT_NE(third.listed.id, second.listed.id);
