--- a/src/coordination/service_reach.hpp
+++ b/src/coordination/service_reach.hpp
@@ -130,7 +130,8 @@
 
     static void suspect(entry& e, state::time_point now);
 
-    /// A cut mostly affects the links to all services, and one with few requests would show it late.
+    /// A cut mostly affects the links to all services, and one with few requests would show it
+    /// late.
     void suspect_others(state::service_id const& service, state::time_point now);
 
     mutable state::ranked_mutex mutex_{state::lock_rank::service_reach};
