Count answers of a server at another one's address once while they hold

Cause: several requests that were on their way each counted as a new answer, so that the listed server was closed for 4 or 8 s in place of 2, and logged each time. Change: an answer while the server is closed is no new one. The text of the event of refused requests is shorter. Result: replaced_server_test.answers_at_the_same_time_count_once fails without the change.

--- a/src/state/server_table.cpp
+++ b/src/state/server_table.cpp
@@ -585,6 +585,9 @@
     if (it == entries_.end() || it->second.view.listed.incarnation != incarnation)
         return false;
     auto& e = it->second;
+    bool const is_known = e.replaced_until && *e.replaced_until > now;
+    if (is_known)
+        return false;
     auto const doublings = std::min(e.replacements, max_replaced_doublings);
     e.replaced_until = now + min_replaced_time * (1 << doublings);
     ++e.replacements;
--- a/src/state/server_table.hpp
+++ b/src/state/server_table.hpp
@@ -241,7 +241,7 @@
     /// Records that another server answers at the address of this incarnation. It gets no requests
     /// until the directory lists another incarnation or address, or for a time that grows with each
     /// such answer, as a faulty server may give one.
-    /// @return false when the directory lists another incarnation by now
+    /// @return false when this is known, or the directory lists another incarnation by now
     bool record_replaced(backend_id const& id, incarnation_number incarnation, time_point now);
 
     /// Records that the link to a service's servers is back: none is avoided for lack of one.
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -170,8 +170,7 @@
          "a request got the complete response of a backend server"},
         {e::request_refused, l::info, "request_refused",
          "the gateway itself responded to a request; `gave_up` says why its last failed attempt "
-         "was "
-         "not followed by another (empty: none failed, or no server was left)"},
+         "had no successor (empty: none failed, or no server was left)"},
         {e::attempt_failed, l::info, "attempt_failed",
          "an attempt at a backend server failed; `next` names the next step, `segments` the "
          "deepest "
--- a/tests/unit/replaced_server_test.cpp
+++ b/tests/unit/replaced_server_test.cpp
@@ -103,6 +103,14 @@
     EXPECT_TRUE(is_open(first));
 }
 
+TEST_F(replaced_server_test, answers_at_the_same_time_count_once)
+{
+    EXPECT_TRUE(record_replaced());
+    EXPECT_FALSE(record_replaced());
+    now += 2s;
+    EXPECT_TRUE(is_open(first));
+}
+
 TEST_F(replaced_server_test, answers_in_a_row_close_the_server_for_longer)
 {
     record_replaced();
