Log how the bodies of responses end, and count those that end with their connection

Change: AW4001 and AW4003 name framing and number of events, AW4001 also the last event and the relay; auburnweir_responses_ended_with_connection_total counts relayed responses with neither a length nor chunks.

--- a/src/state/reasons.cpp
+++ b/src/state/reasons.cpp
@@ -102,6 +102,7 @@
         "events_too_long",
         "streams_ended_inside_event",
         "streams_ended_without_event",
+        "responses_ended_with_connection",
         "usage_reports_sent",
         "fleet_orders_sent",
         "duty_claims_barred",
--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -107,11 +107,12 @@
     prefix_hits,
     requests_forwarded,
     streams_resumed,
-    late_answers_dropped,        ///< responses that name another request
-    unnamed_answers_dropped,     ///< responses that name no request and may be an earlier one's
-    events_too_long,             ///< of streams, which end the attempt
-    streams_ended_inside_event,  ///< the body ended there, so the stream is broken off
-    streams_ended_without_event, ///< the same before the first event
+    late_answers_dropped,            ///< responses that name another request
+    unnamed_answers_dropped,         ///< responses that name no request and may be an earlier one's
+    events_too_long,                 ///< of streams, which end the attempt
+    streams_ended_inside_event,      ///< the body ended there, so the stream is broken off
+    streams_ended_without_event,     ///< the same before the first event
+    responses_ended_with_connection, ///< relayed responses with neither a length nor chunks
     usage_reports_sent,
     fleet_orders_sent,
     duty_claims_barred, ///< of a free lease, as this instance acted shortly before its last holder
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -377,6 +377,7 @@
     }
     auto const status = response.status();
     trace_.status = status;
+    trace_.framing = response.framing();
     auto const backend_values = context_.ports.dialect.decode_response(status, response.headers());
     recorder_.record_contact(server, trace_.connection.requests == 1);
     recorder_.record_statements(server, backend_values);
@@ -415,6 +416,9 @@
     else
         result = co_await relay_->relay_buffered(response);
     trace_.body = name_of(result);
+    trace_.events = relay_->events();
+    if (response.ends_with_connection())
+        context_.tables.counters.increment(state::event_counter::responses_ended_with_connection);
     progress_.response_begun = relay_->has_started();
     if (!relay_->last_event_id().empty())
         resume_after_ = relay_->last_event_id();
@@ -430,7 +434,9 @@
         context_.tables.counters.increment(state::event_counter::requests_completed);
         count_on_added_route(state::event_counter::added_route_requests_relayed);
         context_.tables.full_response_latency.record(now() - arrived_at_);
-        log_finished(logged(), {routes_, confirmation_age_}, server.listed.id, status);
+        log_finished(
+            logged(), {routes_, confirmation_age_},
+            {server.listed.id, path_.relay(), relay_->last_event_id(), trace_});
         break;
     case relay_result::caller_left:
         caller_left_ = true;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -164,9 +164,12 @@
     return state_->parser.get().base();
 }
 
-bool http_stream::ends_with_connection() const
+auburnweir::state::body_framing http_stream::framing() const
 {
-    return state_->parser.need_eof();
+    using auburnweir::state::body_framing;
+    if (state_->parser.need_eof())
+        return body_framing::connection;
+    return state_->parser.chunked() ? body_framing::chunks : body_framing::length;
 }
 
 std::size_t http_stream::state::parse_received(error_code& error)
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -1,6 +1,7 @@
 #ifndef AUBURNWEIR_TRANSPORT_HTTP_CLIENT_HPP
 #define AUBURNWEIR_TRANSPORT_HTTP_CLIENT_HPP
 
+#include "state/body_framing.hpp"
 #include "state/memory_budget.hpp"
 #include "state/time.hpp"
 #include "transport/asio.hpp"
@@ -159,9 +160,14 @@
     int status() const;
     http_fields const& headers() const;
 
-    /// Whether the body has neither a length nor chunks, so that it ends with the connection. A
-    /// server that ends and a complete body then look alike.
-    bool ends_with_connection() const;
+    /// What marks the end of the body. If it is the connection's, a server that ends and a complete
+    /// body look alike.
+    auburnweir::state::body_framing framing() const;
+
+    bool ends_with_connection() const
+    {
+        return framing() == auburnweir::state::body_framing::connection;
+    }
 
     /// Reads the next bytes; empty at the end. They are valid until the next call.
     net::awaitable<http_result<std::string_view>> read(auburnweir::state::duration timeout);
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -167,7 +167,10 @@
         {e::peer_frame_malformed, l::warning, "peer_frame_malformed",
          "a peer sent a frame that could not be decoded; the link was closed"},
         {e::request_finished, l::info, "request_finished",
-         "a request got the complete response of a backend server"},
+         "a request got the complete response of a backend server; `framing` says what marked the "
+         "end of the last attempt's body (`length`, `chunks` or `connection`), `events` how many "
+         "events that attempt's stream had, `last_event` the id of the last one, `relay` which "
+         "instance relayed it"},
         {e::request_refused, l::info, "request_refused",
          "the gateway itself responded to a request; `gave_up` says why its last failed attempt "
          "had no successor (empty: none failed, or no server was left)"},
@@ -178,7 +181,7 @@
          "(empty: none yet), `connection` the local port (0: none), `connection_request` the "
          "number of requests on it so far, `status` that of the response (0: none), `named` "
          "whether it names `this` request, an `other` one or `none`, `body` how its body ended "
-         "(empty: before it began)"},
+         "(empty: before it began), `framing` and `events` as in `request_finished`"},
         {e::caller_left, l::info, "caller_left",
          "a caller closed its connection; its request was cancelled"},
         {e::answer_broken_off, l::warning, "answer_broken_off",
--- a/src/transport/request_log.cpp
+++ b/src/transport/request_log.cpp
@@ -47,6 +47,12 @@
     return trace.named ? std::string{name_of(*trace.named)} : "";
 }
 
+/// What marked the end of the response's body; empty without a response.
+std::string framing_text(attempt_trace const& trace)
+{
+    return trace.framing ? std::string{name_of(*trace.framing)} : "";
+}
+
 std::string after_text(logged_request const& request)
 {
     return milliseconds_text(now() - request.arrived_at);
@@ -56,15 +62,19 @@
 
 void log_finished(
     logged_request const& request, logged_configuration const& configuration,
-    state::backend_id const& backend, int status)
+    logged_response const& response)
 {
     log(log_event::request_finished,
         {{"request", request.request.id.str()},
          {"route", route_of(request)},
          {"route_added", route_added_in(request)},
          {"service", request.service.str()},
-         {"backend", backend.str()},
-         {"status", std::to_string(status)},
+         {"backend", response.backend.str()},
+         {"relay", response.relay.str()},
+         {"status", std::to_string(response.trace.status)},
+         {"framing", framing_text(response.trace)},
+         {"events", std::to_string(response.trace.events)},
+         {"last_event", response.last_event},
          {"sends", std::to_string(request.sends)},
          {"ms", after_text(request)},
          {"configuration", std::to_string(configuration.routes->version().count())},
@@ -108,6 +118,8 @@
          {"status", std::to_string(attempt.trace.status)},
          {"named", named_text(attempt.trace)},
          {"body", std::string{attempt.trace.body}},
+         {"framing", framing_text(attempt.trace)},
+         {"events", std::to_string(attempt.trace.events)},
          {"segments", shared_segments_text(request.request)},
          {"answering_ms", began_at ? milliseconds_text(now() - *began_at) : ""},
          {"after_ms", after_text(request)},
--- a/src/transport/request_log.hpp
+++ b/src/transport/request_log.hpp
@@ -43,6 +43,8 @@
     int status = 0;                                   ///< 0: no response
     std::optional<coordination::response_name> named; ///< null: no response
     std::string_view body; ///< how the relay of the response's body ended; empty: none was relayed
+    std::optional<state::body_framing> framing; ///< of the response; null: no response
+    std::size_t events = 0;                     ///< that the attempt's stream has sent so far
 };
 
 /// A failed attempt and the step after it.
@@ -57,9 +59,18 @@
     attempt_trace trace;
 };
 
+/// How the response that completed a request came.
+struct logged_response
+{
+    state::backend_id backend;
+    state::instance_id relay; ///< that relayed it; empty: none
+    std::string last_event; ///< id of the stream's last event; empty: no stream, or none had an id
+    attempt_trace trace;
+};
+
 void log_finished(
     logged_request const& request, logged_configuration const& configuration,
-    state::backend_id const& backend, int status);
+    logged_response const& response);
 
 /// @param segment  the quarantined segment for which it is refused; empty: none
 void log_refused(
--- a/src/transport/response_relay.cpp
+++ b/src/transport/response_relay.cpp
@@ -146,6 +146,7 @@
 void response_relay::begin_attempt()
 {
     first_event_at_.reset();
+    events_ = 0;
     intervals_ = {};
     has_told_of_answering_ = false;
 }
@@ -165,6 +166,7 @@
 {
     auto const time = now();
     first_event_at_ = first_event_at_.value_or(time);
+    events_ += count;
     report_intervals(intervals_.add(count, time));
     if (has_told_of_answering_ || !is_answering())
         return;
--- a/src/transport/response_relay.hpp
+++ b/src/transport/response_relay.hpp
@@ -67,6 +67,9 @@
     /// Whether the current server has sent events for `answering_time`.
     bool is_answering() const;
 
+    /// Number of events that the current server has sent.
+    std::size_t events() const { return events_; }
+
     /// When the current server's first event arrived; null before it.
     std::optional<state::time_point> first_event_at() const { return first_event_at_; }
 
@@ -88,6 +91,7 @@
     relayed_request request_;
     bool started_ = false;
     std::optional<state::time_point> first_event_at_;
+    std::size_t events_ = 0;
     bool has_told_of_answering_ = false;
     coordination::stream_intervals intervals_; ///< of the current server
     std::string last_event_id_;
