--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -140,17 +140,26 @@
 void streamed_answer::read_tokens(std::size_t count)
 {
     while (stream_ && tokens_ < count && !finished_)
+        read_part();
+}
+
+void streamed_answer::read_bytes(std::size_t count)
+{
+    while (stream_ && body_.size() < count)
+        read_part();
+}
+
+void streamed_answer::read_part()
+{
+    auto const bytes = run_to_completion(*io_, stream_->read(stream_timeout));
+    if (!bytes || bytes.value().empty())
     {
-        auto const bytes = run_to_completion(*io_, stream_->read(stream_timeout));
-        if (!bytes || bytes.value().empty())
-        {
-            complete_ = bytes.has_value();
-            stream_.reset();
-            return;
-        }
-        body_ += bytes.value();
-        parse_lines(std::string{bytes.value()});
+        complete_ = bytes.has_value();
+        stream_.reset();
+        return;
     }
+    body_ += bytes.value();
+    parse_lines(std::string{bytes.value()});
 }
 
 void streamed_answer::parse_lines(std::string const& bytes)
--- a/tests/support/caller.hpp
+++ b/tests/support/caller.hpp
@@ -74,6 +74,9 @@
     /// for 30 s.
     void read_tokens(std::size_t count);
 
+    /// Reads until the body has `count` bytes or has ended, or the stream is silent for 30 s.
+    void read_bytes(std::size_t count);
+
     void read_to_end() { read_tokens(SIZE_MAX); }
 
     /// Closes the connection before the stream ends.
@@ -94,6 +97,7 @@
     std::string const& finish_reason() const { return finish_reason_; }
 
 private:
+    void read_part();
     void parse_lines(std::string const& bytes);
 
     std::unique_ptr<transport::net::io_context> io_;
--- a/tests/support/gateway_deployment.cpp
+++ b/tests/support/gateway_deployment.cpp
@@ -367,6 +367,14 @@
         {{"target", "127.0.0.1:" + std::to_string(backend(index).port())}});
 }
 
+void gateway_deployment::start_backend(int index, std::string const& name, std::int64_t born)
+{
+    auto const port = backend(index).port();
+    backends_.at(index) = std::make_unique<process>(std::vector{
+        program_path("standin-routed-backend"), name, born > 0 ? std::to_string(born) : "",
+        std::to_string(port)});
+}
+
 void gateway_deployment::remove_backend(int index)
 {
     json const row{{"table", "servers"}, {"key", backend_name(index)}};
--- a/tests/support/gateway_deployment.hpp
+++ b/tests/support/gateway_deployment.hpp
@@ -99,6 +99,10 @@
     /// `proxied`. The directory goes on naming the old one.
     void replace_backend(int index, std::string const& name);
 
+    /// Starts a process at the address of a backend that was killed. Only without `proxied`.
+    /// @param born  start time that it reports; 0: it reports none
+    void start_backend(int index, std::string const& name, std::int64_t born);
+
     /// Writes a row of the directory that names a backend's address.
     void write_backend_row(std::string const& key, int index, json const& changes = {});
 
--- a/tools/standins/routed_backend.cpp
+++ b/tools/standins/routed_backend.cpp
@@ -1,4 +1,5 @@
 #include "http_standin.hpp"
+#include "state/body_framing.hpp"
 
 #include <map>
 #include <optional>
@@ -8,7 +9,7 @@
 ///
 /// Echoes the request body as JSON; for `/stream/` paths it responds with an event stream.
 /// `POST /control` sets faults; `GET /runs` returns the number of runs per attempt id and the
-/// last request.
+/// last request. Arguments: its id, its start time and its port.
 
 namespace
 {
@@ -24,9 +25,11 @@
 class routed_backend
 {
 public:
-    routed_backend(net::io_context& io, std::string id)
+    /// @param born  start time in reports, in Unix milliseconds; empty: reports state none
+    routed_backend(net::io_context& io, std::string id, std::string born)
         : io_(io)
         , id_(std::move(id))
+        , born_(std::move(born))
     {
     }
 
@@ -36,6 +39,8 @@
             co_await control(request, connection);
         else if (request.target == "/runs")
             co_await send_json(connection, 200, runs_body());
+        else if (request.target == "/healthz" || request.target == "/api/report")
+            co_await report(request, connection);
         else
             co_await serve(std::move(request), connection);
     }
@@ -59,7 +64,10 @@
         return protocol::dump({{"server", id_}, {"echo", request.body}});
     }
 
-    json runs_body() const { return {{"runs", runs_}, {"last", last_request_}}; }
+    json runs_body() const
+    {
+        return {{"runs", runs_}, {"last", last_request_}, {"questions", questions_}};
+    }
 
     static std::uint16_t caller_port(standin_connection const& connection)
     {
@@ -77,6 +85,22 @@
         return response;
     }
 
+    /// Answers questions on its health, which are no runs.
+    net::awaitable<void> report(standin_request const& request, standin_connection& connection)
+    {
+        auto const expected_id = request.header("Auburnweir-Expected-Instance");
+        bool const is_other = !expected_id.empty() && expected_id != id_;
+        json body = json::object();
+        if (!born_.empty() && request.target == "/api/report")
+            body["born"] = std::stoll(born_);
+        response_headers headers{{"Auburnweir-Instance-Id", id_}};
+        auto const question = request.header("Auburnweir-Attempt-Id");
+        if (!question.empty())
+            headers.emplace_back("Auburnweir-Attempt-Id", question);
+        ++questions_;
+        co_await send_json(connection, is_other ? 421 : 200, body, std::move(headers));
+    }
+
     net::awaitable<void> serve(standin_request request, standin_connection& connection)
     {
         auto const attempt = request.header("Auburnweir-Attempt-Id");
@@ -142,7 +166,49 @@
         }
         auto response = make_response(request, status_);
         response.body = echo_body(request);
-        co_await connection.writer.send(std::move(response));
+        if (framing_)
+            co_await send_in_halves(std::move(response), connection);
+        else
+            co_await connection.writer.send(std::move(response));
+    }
+
+    /// How a body of `size` bytes is framed.
+    transport::response_framing framing_of(std::size_t size) const
+    {
+        if (framing_ == state::body_framing::connection)
+            return transport::unframed_body{};
+        if (framing_ == state::body_framing::length)
+            return transport::sized_body{size};
+        return transport::chunked_body{};
+    }
+
+    /// Sends a body in two parts, `event_ms` apart.
+    net::awaitable<void> send_in_halves(
+        transport::caller_response response, standin_connection& connection)
+    {
+        auto const body = std::exchange(response.body, {});
+        auto const framing = framing_of(body.size());
+        co_await connection.writer.begin(std::move(response), framing);
+        auto first = body.substr(0, body.size() / 2);
+        co_await connection.writer.send_part(std::move(first));
+        co_await transport::sleep_for(io_, std::chrono::milliseconds{event_ms_});
+        auto rest = body.substr(body.size() / 2);
+        co_await connection.writer.send_part(std::move(rest));
+        co_await connection.writer.end();
+        close_if_unframed(connection);
+    }
+
+    void close_if_unframed(standin_connection& connection) const
+    {
+        boost::system::error_code ignored;
+        if (framing_ == state::body_framing::connection)
+            connection.stream.socket().close(ignored);
+    }
+
+    static std::string event_text(std::int64_t event)
+    {
+        auto const number = std::to_string(event);
+        return "id: " + number + "\ndata: token-" + number + "\n\n";
     }
 
     /// Sends the bytes of `late_response` ahead of the response to a request that is not the first
@@ -206,7 +272,11 @@
         response.content_type = "text/event-stream";
         auto const after = request.header("Last-Event-Id");
         std::int64_t const first_event = after.empty() ? 1 : std::stoll(after) + 1;
-        co_await connection.writer.begin(std::move(response));
+        std::size_t size = 0;
+        for (auto event = first_event; event <= events_; ++event)
+            size += event_text(event).size();
+        auto const framing = framing_of(size);
+        co_await connection.writer.begin(std::move(response), framing);
         for (auto event = first_event; event <= events_; ++event)
         {
             if (cut_after_ > 0 && event > cut_after_)
@@ -216,12 +286,14 @@
                 connection.reset();
                 co_return;
             }
-            auto const number = std::to_string(event);
-            co_await connection.writer.send_part(
-                "id: " + number + "\ndata: token-" + number + "\n\n");
+            auto text = event_text(event);
+            co_await connection.writer.send_part(std::move(text));
+            if (event == end_after_)
+                break;
             co_await transport::sleep_for(io_, std::chrono::milliseconds{event_ms_});
         }
         co_await connection.writer.end();
+        close_if_unframed(connection);
     }
 
     void record_request(standin_request const& request)
@@ -233,6 +305,17 @@
             last_request_["headers"][std::string{field.name_string()}] = std::string{field.value()};
     }
 
+    /// Null for an unknown word, which restores the default.
+    static std::optional<state::body_framing> decode_framing(std::string const& word)
+    {
+        using state::body_framing;
+        for (auto const framing :
+             {body_framing::length, body_framing::chunks, body_framing::connection})
+            if (word == name_of(framing))
+                return framing;
+        return std::nullopt;
+    }
+
     net::awaitable<void> control(standin_request const& request, standin_connection& connection)
     {
         auto const body = protocol::parse_json(request.body);
@@ -255,6 +338,9 @@
         cut_ = protocol::flag_at(*body, "cut", cut_);
         repeat_refusals_ = protocol::flag_at(*body, "repeat_refusals", repeat_refusals_);
         unframed_ = protocol::flag_at(*body, "unframed", unframed_);
+        end_after_ = protocol::integer_at(*body, "end_after", end_after_);
+        if (body->contains("framing"))
+            framing_ = decode_framing(protocol::text_at(*body, "framing"));
         names_refusals_ = protocol::flag_at(*body, "names_refusals", names_refusals_);
         late_response_ = protocol::text_at(*body, "late_response", late_response_);
         if (body->contains("endless"))
@@ -264,6 +350,8 @@
 
     net::io_context& io_;
     std::string id_;
+    std::string born_;
+    std::int64_t questions_ = 0; ///< on its health
     json runs_ = json::object();
     json last_request_;
     json statements_ = json::object(); ///< headers of each response, by name
@@ -274,6 +362,9 @@
     std::int64_t event_ms_ = 5;
     std::int64_t events_ = 10;
     std::int64_t cut_after_ = 0;
+    std::int64_t end_after_ = 0; ///< event after which streams end in good form; 0: the last one
+    /// Of streams, and of other bodies, which come in two parts then; null: the default.
+    std::optional<state::body_framing> framing_;
     bool not_run_ = false;
     bool cut_ = false;
     bool unframed_ = false;
@@ -289,9 +380,10 @@
 int main(int argc, char** argv)
 {
     net::io_context io(1);
-    routed_backend backend(io, argc > 1 ? argv[1] : "backend-1");
+    routed_backend backend(io, argc > 1 ? argv[1] : "backend-1", argc > 2 ? argv[2] : "");
+    auto const port = static_cast<std::uint16_t>(argc > 3 ? std::stoi(argv[3]) : 0);
     return run_standin(
-        io, 0,
+        io, port,
         [&backend](standin_request request, standin_connection& connection)
         { return backend.handle(std::move(request), connection); });
 }
