Ask servers whether their processes have outlived a response

Cause: the end of a connection doesn't show whether the server closed it or its kernel did as the process died. Change: coordination/liveness_check decides by answers to questions that were sent after the end, without I/O; liveness_checker sends them, on a connection that was opened before the end where there is one; one question counts for all responses that ended before it. http_client opens connections that its users keep.

--- a/src/state/reasons.hpp
+++ b/src/state/reasons.hpp
@@ -113,6 +113,9 @@
     streams_ended_inside_event,      ///< the body ended there, so the stream is broken off
     streams_ended_without_event,     ///< the same before the first event
     responses_ended_with_connection, ///< relayed responses with neither a length nor chunks
+    responses_outlived,              ///< and those whose server is known to have run on
+    responses_unconfirmed,           ///< and those that count as lost, as it is not known
+    liveness_questions,              ///< that were sent to find that out
     usage_reports_sent,
     fleet_orders_sent,
     duty_claims_barred, ///< of a free lease, as this instance acted shortly before its last holder
--- a/src/transport/connection_keeper.cpp
+++ b/src/transport/connection_keeper.cpp
@@ -55,6 +55,7 @@
     idle.close_useless(
         [&](state::endpoint const& to)
         { return addresses.contains(to) || to == settings.store || to == settings.fleet; });
+    of.liveness().close_unused();
     auto const closed = idle.take_closed();
     auto& counters = context_.tables.counters;
     using counter = state::event_counter;
@@ -64,6 +65,7 @@
     counters.increment(counter::idle_connections_ended, closed.ended);
     counters.increment(
         counter::connections_full_of_refusals, of.http().take_connections_full_of_refusals());
+    counters.increment(counter::liveness_questions, of.liveness().take_questions());
 }
 
 coordination::descriptor_shares own_descriptor_shares()
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -93,6 +93,7 @@
     state(http_client& owner, http_connection_ptr c)
         : client(owner)
         , connection(std::move(c))
+        , requested_at(connection->requested_at)
     {
         parser.header_limit(max_header_bytes);
         parser.body_limit(UINT64_MAX);
@@ -108,6 +109,7 @@
 
     http_client& client;
     http_connection_ptr connection;
+    auburnweir::state::time_point requested_at;
     std::shared_ptr<call_cancellation> cancel;
     http::response_parser<http::buffer_body> parser;
     std::array<char, read_buffer_bytes> bytes{};
@@ -124,8 +126,8 @@
     /// At the end of a connection that ends a body: whether it shows that the body is complete.
     net::awaitable<bool> has_proven_end();
 
-    /// Returns the connection to the pool after the last byte, or closes it.
-    void return_connection()
+    /// After the last byte: the connection if later calls may use it; else closes it.
+    http_connection_ptr take_connection()
     {
         if (cancel)
             cancel->set_handler(nullptr);
@@ -133,15 +135,20 @@
                               parser.keep_alive() && !connection->write_pending &&
                               connection->buffer.size() == 0;
         if (reusable)
-        {
             connection->max_idle_time = max_idle_time_from(parser.get().base());
-            client.idle().store(std::move(connection));
-        }
         else if (connection && is_own)
             connection->abort();
         else if (connection)
             connection->close();
-        connection.reset();
+        auto taken = std::exchange(connection, nullptr);
+        return reusable ? std::move(taken) : nullptr;
+    }
+
+    /// Returns the connection to the pool after the last byte, or closes it.
+    void return_connection()
+    {
+        if (auto taken = take_connection())
+            client.idle().store(std::move(taken));
     }
 };
 
@@ -254,7 +261,25 @@
     state_->return_connection();
 }
 
+http_connection_ptr http_stream::take_connection()
+{
+    return state_->take_connection();
+}
+
+auburnweir::state::time_point http_stream::requested_at() const
+{
+    return state_->requested_at;
+}
+
 net::awaitable<http_result<std::string>> http_stream::read_rest(body_limits limits)
+{
+    auto body = co_await read_body(limits);
+    if (body)
+        keep_connection();
+    co_return body;
+}
+
+net::awaitable<http_result<std::string>> http_stream::read_body(body_limits limits)
 {
     auto const deadline = now() + limits.timeout;
     std::string body;
@@ -267,10 +292,7 @@
         if (!chunk)
             co_return chunk.error();
         if (chunk.value().empty())
-        {
-            keep_connection();
             co_return body;
-        }
         auto const size = body.size() + chunk.value().size();
         if (size > static_cast<std::size_t>(limits.size.count()))
             co_return http_error::too_large;
@@ -311,28 +333,30 @@
 
 http_client::~http_client() = default;
 
-net::awaitable<http_result<http_connection_ptr>> http_client::connect(
-    state::endpoint to, state::duration timeout)
+net::awaitable<connect_result> http_client::connect(state::endpoint to, state::duration timeout)
 {
+    connect_result result;
     auto c = std::make_shared<http_connection>(io_, to);
-    error_code error;
-    tcp::endpoint const address{net::ip::make_address(to.host, error), to.port};
-    if (error)
-        co_return http_error::connect_failed;
+    tcp::endpoint const address{net::ip::make_address(to.host, result.error), to.port};
+    if (result.error)
+        co_return result;
     c->timeout.begin(timeout);
-    co_await c->stream.async_connect(address, redirect_error_to(error));
+    co_await c->stream.async_connect(address, redirect_error_to(result.error));
     c->timeout.end();
-    if (error)
-        co_return http_error::connect_failed;
+    if (result.error)
+        co_return result;
     ++connections_opened_;
-    c->stream.socket().set_option(tcp::no_delay(true), error);
-    co_return std::move(c);
+    error_code ignored;
+    c->stream.socket().set_option(tcp::no_delay(true), ignored);
+    c->opened_at = now();
+    result.connection = std::move(c);
+    co_return result;
 }
 
 net::awaitable<bool> http_client::can_connect(state::endpoint to, state::duration timeout)
 {
     auto const opened = co_await connect(std::move(to), timeout);
-    co_return opened.has_value();
+    co_return opened.connection != nullptr;
 }
 
 void http_client::start_write(http_connection_ptr c, http::request<http::string_body> request)
@@ -438,12 +462,26 @@
     {
         auto connected =
             co_await connect(to, std::min(policy.header_timeout, policy.connect_timeout));
-        if (!connected)
-            co_return connected.error();
-        c = std::move(connected.value());
+        if (!connected.connection)
+            co_return http_error::connect_failed;
+        c = std::move(connected.connection);
         if (policy.cancel && policy.cancel->cancelled())
             co_return http_error::connect_failed;
     }
+    co_return co_await exchange(std::move(c), std::move(request), std::move(policy), deadline);
+}
+
+net::awaitable<http_result<http_stream>> http_client::open_on(
+    http_connection_ptr c, http_request request, call_policy policy)
+{
+    auto const deadline = now() + policy.header_timeout;
+    co_return co_await exchange(std::move(c), std::move(request), std::move(policy), deadline);
+}
+
+net::awaitable<http_result<http_stream>> http_client::exchange(
+    http_connection_ptr c, http_request request, call_policy policy, state::time_point deadline)
+{
+    auto const& to = c->address;
     http::request<http::string_body> message;
     message.method_string(request.method);
     message.target(request.target);
@@ -470,6 +508,7 @@
             });
     bool const response_has_no_body = message.method() == http::verb::head;
     c->request_body_bytes = message.body().size();
+    c->requested_at = now();
     ++c->requests;
     if (policy.used_connection)
         *policy.used_connection = {c->local_port(), c->requests};
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -101,6 +101,13 @@
     unknown ///< the call counts as lost
 };
 
+/// A new connection, or why there is none.
+struct connect_result
+{
+    http_connection_ptr connection; ///< null after an error
+    error_code error;
+};
+
 /// The connection that a call used.
 struct call_connection
 {
@@ -172,11 +179,21 @@
     /// Reads the next bytes; empty at the end. They are valid until the next call.
     net::awaitable<http_result<std::string_view>> read(auburnweir::state::duration timeout);
 
+    /// When the request was sent.
+    auburnweir::state::time_point requested_at() const;
+
     /// Lets later calls use the connection; after the last byte only. A server whose body ended too
     /// early may still send the rest of it, so its connection is not kept.
     void keep_connection();
 
-    /// Reads the rest of the body into memory, and keeps the connection after its end.
+    /// Takes the connection for further calls, as `keep_connection` would keep it; null when it
+    /// can't be used again.
+    http_connection_ptr take_connection();
+
+    /// Reads the rest of the body into memory.
+    net::awaitable<http_result<std::string>> read_body(body_limits limits);
+
+    /// The same, and keeps the connection after the body's end.
     net::awaitable<http_result<std::string>> read_rest(body_limits limits);
 
     /// Records that the response states that the request was not run. Another attempt of the
@@ -212,6 +229,14 @@
     net::awaitable<http_result<http_stream>> open(
         auburnweir::state::endpoint to, http_request request, call_policy policy);
 
+    /// Opens a connection that `open_on` uses.
+    net::awaitable<connect_result> connect(
+        auburnweir::state::endpoint to, auburnweir::state::duration timeout);
+
+    /// As `open`, on a connection of the caller's. No other call uses it.
+    net::awaitable<http_result<http_stream>> open_on(
+        http_connection_ptr c, http_request request, call_policy policy);
+
     /// Whether a new connection to the endpoint can be opened. Sends nothing on it.
     net::awaitable<bool> can_connect(
         auburnweir::state::endpoint to, auburnweir::state::duration timeout);
@@ -233,8 +258,9 @@
 private:
     friend class http_stream;
 
-    net::awaitable<http_result<http_connection_ptr>> connect(
-        auburnweir::state::endpoint to, auburnweir::state::duration timeout);
+    net::awaitable<http_result<http_stream>> exchange(
+        http_connection_ptr c, http_request request, call_policy policy,
+        auburnweir::state::time_point deadline);
     void start_write(http_connection_ptr c, http::request<http::string_body> request);
 
     struct acknowledgement_watch;
--- a/src/transport/http_connection.hpp
+++ b/src/transport/http_connection.hpp
@@ -99,6 +99,8 @@
 
     /// A copy of the refusal of an earlier attempt may arrive for a new one.
     coordination::refused_requests refused;
+    state::time_point opened_at{};
+    state::time_point requested_at{}; ///< when the last request was sent
     state::time_point idle_since{};
     state::duration max_idle_time = std::chrono::hours{1};
 };
--- a/src/transport/request_dialect.hpp
+++ b/src/transport/request_dialect.hpp
@@ -1,7 +1,9 @@
 #ifndef AUBURNWEIR_TRANSPORT_REQUEST_DIALECT_HPP
 #define AUBURNWEIR_TRANSPORT_REQUEST_DIALECT_HPP
 
+#include "coordination/liveness_check.hpp"
 #include "state/forwarded_request.hpp"
+#include "state/route_set.hpp"
 #include "state/server_table.hpp"
 #include "transport/http_client.hpp"
 
@@ -61,6 +63,17 @@
     /// Encodes the headers for the caller: the backend server's without those of the connection.
     virtual http_headers encode_response(http_fields const& from_server) const = 0;
 
+    /// A request that every server of a service answers at once and that runs no work of callers.
+    /// Servers other than `server` refuse it.
+    /// @param service  null when the configuration no longer has it
+    virtual http_request liveness_question(
+        state::routed_service const* service, state::backend_id const& server,
+        state::request_id const& id) const = 0;
+
+    /// What a response to such a request tells of the server and its listed lifetime.
+    virtual coordination::question_result read_liveness_answer(
+        state::listed_server const& server, http_response const& response) const = 0;
+
     /// Headers that identify the request in a response that the gateway itself creates.
     virtual http_headers own_response_headers(state::forwarded_request const& request) const = 0;
 };
--- a/src/transport/worker_pool.hpp
+++ b/src/transport/worker_pool.hpp
@@ -3,6 +3,7 @@
 
 #include "transport/asio.hpp"
 #include "transport/http_client.hpp"
+#include "transport/liveness_checker.hpp"
 
 #include <atomic>
 #include <latch>
@@ -30,6 +31,7 @@
     std::size_t index() const { return index_; }
     net::io_context& io() { return io_; }
     http_client& http() { return http_; }
+    liveness_checker& liveness() { return liveness_; }
     std::mt19937_64& random() { return random_; }
     replica_feeds& feeds() { return *feeds_; }
 
@@ -37,6 +39,7 @@
     std::size_t index_;
     net::io_context io_{1};
     http_client http_{io_};
+    liveness_checker liveness_{io_, http_};
     std::mt19937_64 random_;
     std::unique_ptr<replica_feeds> feeds_;
 };
