--- a/src/coordination/stream_end.hpp
+++ b/src/coordination/stream_end.hpp
@@ -7,17 +7,18 @@
 namespace auburnweir::coordination
 {
 
-/// What marks the end of a response's body.
-enum class body_framing : std::uint8_t
+/// What shows that a response's body is whole.
+enum class body_proof : std::uint8_t
 {
     delimited, ///< a length or a last chunk
-    connection ///< the end of the connection
+    outlived,  ///< the server has run on after the connection's end, which ended the body
+    none       ///< the connection's end alone
 };
 
 /// What is known of a server's stream when its body has ended.
 struct stream_end
 {
-    body_framing framing = body_framing::delimited;
+    body_proof proof = body_proof::delimited;
     bool is_event_stream = true; ///< not declared as content of another type
     bool is_resumed = false;     ///< the request asked for the events after one that it has
     bool has_events = false;     ///< at least one event is complete
@@ -35,7 +36,7 @@
 {
 };
 
-/// The connection ended before the stream: the server may have ended as well.
+/// The connection ended, and the server may have ended as well.
 struct stream_disconnected
 {
 };
@@ -45,7 +46,8 @@
 /// Decides whether a stream whose body has ended is complete.
 ///
 /// The end of a body proves nothing alone: a faulty server may mark it inside an event, or before
-/// the first. A run that begins to answer sends an event, but a resumed one may have none left.
+/// the first. A run that begins to answer sends an event, but a resumed one may have none left. The
+/// end of a connection proves nothing of the body either, see `liveness_check`.
 stream_end_kind classify_stream_end(stream_end const& end);
 
 } // namespace auburnweir::coordination
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -61,6 +61,7 @@
     , recorder_(context, assigned_worker)
     , path_(context, assigned_worker)
     , quarantine_(context, assigned_worker)
+    , liveness_(context, assigned_worker)
 {
 }
 
@@ -142,10 +143,16 @@
     progress_.retry = route_->retry;
     progress_.max_possibly_executed = route_->max_attempts;
     resume_after_ = forwarded_.resume_after;
-    relayed_request relayed{arrived_at_, deadline_, {}, {}, {}, cancel_, !resume_after_.empty()};
+    relayed_request relayed;
+    relayed.arrived_at = arrived_at_;
+    relayed.deadline = deadline_;
+    relayed.cancel = cancel_;
+    relayed.is_resumed = !resume_after_.empty();
     relayed.on_answering = [this] { recorder_.record_answer(forwarded_); };
     relayed.on_intervals = [this](state::event_intervals const& intervals)
-    { recorder_.record_intervals(streaming_server_, intervals); };
+    { recorder_.record_intervals(answering_server_, intervals); };
+    relayed.has_outlived = [this](state::time_point requested_at)
+    { return has_outlived(requested_at); };
     if (route_->retry == state::retry_rule::resumable)
         relayed.may_resume_elsewhere = [this] { return may_resume_elsewhere(); };
     relay_.emplace(context_, writer_, std::move(relayed));
@@ -202,6 +209,14 @@
     log_caller_left(logged());
 }
 
+net::awaitable<bool> forwarder::has_outlived(state::time_point requested_at)
+{
+    // A server that only peers reach can't be asked.
+    if (path_.is_relayed())
+        co_return false;
+    co_return co_await liveness_.has_outlived(answering_server_, requested_at, deadline_);
+}
+
 bool forwarder::may_resume_elsewhere()
 {
     progress_.time_left = time_left();
@@ -378,6 +393,9 @@
     auto const status = response.status();
     trace_.status = status;
     trace_.framing = response.framing();
+    answering_server_ = server.listed;
+    if (response.ends_with_connection() && !path_.is_relayed())
+        liveness_.prepare(server.listed);
     auto const backend_values = context_.ports.dialect.decode_response(status, response.headers());
     recorder_.record_contact(server, trace_.connection.requests == 1);
     recorder_.record_statements(server, backend_values);
@@ -409,10 +427,7 @@
     bool const streamed = route_->streaming && is_success(status) && has_body;
     auto result = relay_result::interrupted;
     if (streamed)
-    {
-        streaming_server_ = server.listed;
         result = co_await relay_->relay_stream(response);
-    }
     else
         result = co_await relay_->relay_buffered(response);
     trace_.body = name_of(result);
--- a/src/transport/forwarder.hpp
+++ b/src/transport/forwarder.hpp
@@ -11,6 +11,7 @@
 #include "transport/request_log.hpp"
 #include "transport/response_relay.hpp"
 #include "transport/response_writer.hpp"
+#include "transport/server_liveness.hpp"
 #include "transport/server_selector.hpp"
 
 namespace auburnweir::transport
@@ -38,6 +39,8 @@
     void set_route(state::route const* found);
     void count_on_added_route(state::event_counter event);
     bool may_resume_elsewhere();
+    /// Whether the server whose response has just ended with its connection has outlived it.
+    net::awaitable<bool> has_outlived(state::time_point requested_at);
     net::awaitable<void> run_attempts();
     /// Handles that no server takes a request before `until`.
     net::awaitable<void> wait_or_refuse(state::time_point until);
@@ -86,11 +89,12 @@
     attempt_recorder recorder_;
     attempt_path path_; ///< of the last attempt
     quarantine_gate quarantine_;
+    server_liveness liveness_;
     coordination::attempt_progress progress_;
     attempt_trace trace_;                     ///< of the last attempt
     std::optional<response_relay> relay_;     ///< set when the request is admitted
     std::optional<server_selector> selector_; ///< the same
-    state::listed_server streaming_server_;   ///< whose stream is relayed
+    state::listed_server answering_server_;   ///< whose response is relayed
     std::string resume_after_;
     std::optional<state::give_up_reason> gave_up_;
     std::string quarantined_segment_; ///< id of the segment for which the request is refused
--- a/src/transport/relay_handler.cpp
+++ b/src/transport/relay_handler.cpp
@@ -29,10 +29,10 @@
 /// A server that breaks off a stream that ran for longer was not crashed by the request.
 constexpr state::duration answering_time = std::chrono::seconds{1};
 
+/// Always one that shows the end of the body: the asking instance can't ask the server whether it
+/// runs, and this instance's own end would look like the server's.
 response_framing framing_of(http_stream const& response, bool has_body)
 {
-    if (response.ends_with_connection())
-        return unframed_body{};
     auto const length = response.headers()[http::field::content_length];
     std::uint64_t bytes = 0;
     auto const parsed = std::from_chars(length.data(), length.data() + length.size(), bytes);
@@ -55,6 +55,7 @@
     , arrived_at_(arrived_at)
     , in_progress_(context.relayed.begin())
     , recorder_(context, assigned_worker)
+    , liveness_(context, assigned_worker)
 {
 }
 
@@ -217,6 +218,8 @@
     header.headers = context_.ports.dialect.encode_response(response.headers());
     header.headers.emplace_back(protocol::relayed_header, server.listed.id.str());
     auto const framing = framing_of(response, has_body);
+    if (response.ends_with_connection())
+        liveness_.prepare(server.listed);
     auto const began_at = now();
     if (!co_await writer_.begin(std::move(header), framing))
         co_return server_outcome::abandoned;
@@ -251,6 +254,19 @@
             co_return server_outcome::abandoned;
         }
     }
+    if (response.ends_with_connection())
+    {
+        auto const requested_at = response.requested_at();
+        bool const outlived =
+            co_await liveness_.has_outlived(server.listed, requested_at, deadline_);
+        if (!outlived || cancel_->cancelled())
+        {
+            if (!outlived && now() - began_at < answering_time)
+                recorder_.record_loss(server, forwarded_);
+            break_off();
+            co_return outlived ? server_outcome::abandoned : server_outcome::failed;
+        }
+    }
     response.keep_connection();
     bool const ended = !has_body || co_await writer_.end();
     co_return ended ? server_outcome::answered : server_outcome::abandoned;
--- a/src/transport/relay_handler.hpp
+++ b/src/transport/relay_handler.hpp
@@ -6,6 +6,7 @@
 #include "transport/gateway_context.hpp"
 #include "transport/request_log.hpp"
 #include "transport/response_writer.hpp"
+#include "transport/server_liveness.hpp"
 
 namespace auburnweir::transport
 {
@@ -66,6 +67,7 @@
     protocol::relay_head head_;
     state::time_point deadline_;
     attempt_recorder recorder_;
+    server_liveness liveness_;
     attempt_trace trace_;
     std::shared_ptr<call_cancellation> cancel_ = std::make_shared<call_cancellation>();
 };
--- a/src/transport/response_relay.cpp
+++ b/src/transport/response_relay.cpp
@@ -1,6 +1,5 @@
 #include "transport/response_relay.hpp"
 
-#include "coordination/stream_end.hpp"
 #include "protocol/event_splitter.hpp"
 #include "state/overloaded.hpp"
 #include "transport/response_status.hpp"
@@ -44,12 +43,6 @@
     return relay_result::interrupted;
 }
 
-coordination::body_framing framing_of(http_stream const& response)
-{
-    return response.ends_with_connection() ? coordination::body_framing::connection
-                                           : coordination::body_framing::delimited;
-}
-
 } // namespace
 
 std::string_view name_of(relay_result result)
@@ -128,6 +121,11 @@
         co_return relay_result::caller_left;
     if (!body)
         co_return result_of(body.error());
+    auto const proof = co_await proof_of(response);
+    if (request_.cancel->cancelled())
+        co_return relay_result::caller_left;
+    if (proof == coordination::body_proof::none)
+        co_return relay_result::interrupted;
     auto reply = response_header(response);
     reply.body = std::move(body.value());
     context_.tables.first_byte_latency.record(now() - request_.arrived_at);
@@ -181,10 +179,20 @@
     co_return result;
 }
 
-relay_result response_relay::result_of_end(http_stream const& response, bool is_inside_event)
+net::awaitable<coordination::body_proof> response_relay::proof_of(http_stream const& response)
+{
+    using coordination::body_proof;
+    if (!response.ends_with_connection())
+        co_return body_proof::delimited;
+    bool const outlived = co_await request_.has_outlived(response.requested_at());
+    co_return outlived ? body_proof::outlived : body_proof::none;
+}
+
+relay_result response_relay::result_of_end(
+    http_stream const& response, coordination::body_proof proof, bool is_inside_event)
 {
     coordination::stream_end end;
-    end.framing = framing_of(response);
+    end.proof = proof;
     end.is_event_stream = may_be_event_stream(response);
     end.is_resumed = request_.is_resumed || !last_event_id_.empty();
     end.has_events = first_event_at_.has_value();
@@ -195,7 +203,8 @@
             [](coordination::stream_truncated const&) { return relay_result::truncated; },
             [](coordination::stream_disconnected const&) { return relay_result::interrupted; }},
         coordination::classify_stream_end(end));
-    if (result != relay_result::complete)
+    bool const stops_early = is_inside_event || !end.has_events;
+    if (result != relay_result::complete && stops_early)
         context_.tables.counters.increment(
             is_inside_event ? state::event_counter::streams_ended_inside_event
                             : state::event_counter::streams_ended_without_event);
@@ -253,7 +262,10 @@
         }
         if (ended)
         {
-            auto const result = result_of_end(response, events.is_inside_event());
+            auto const proof = co_await proof_of(response);
+            if (request_.cancel->cancelled())
+                co_return relay_result::caller_left;
+            auto const result = result_of_end(response, proof, events.is_inside_event());
             if (result != relay_result::complete)
                 co_return result;
             response.keep_connection();
--- a/src/transport/response_relay.hpp
+++ b/src/transport/response_relay.hpp
@@ -1,6 +1,7 @@
 #ifndef AUBURNWEIR_TRANSPORT_RESPONSE_RELAY_HPP
 #define AUBURNWEIR_TRANSPORT_RESPONSE_RELAY_HPP
 
+#include "coordination/stream_end.hpp"
 #include "coordination/stream_intervals.hpp"
 #include "transport/gateway_context.hpp"
 #include "transport/response_writer.hpp"
@@ -38,6 +39,9 @@
     std::function<void(state::event_intervals const&)> on_intervals;
     std::shared_ptr<call_cancellation> cancel;
     bool is_resumed = false; ///< the caller asks for the events after one that it has
+    /// Asked when a response has ended with its connection: whether its server is known to have
+    /// outlived it.
+    std::function<net::awaitable<bool>(state::time_point requested_at)> has_outlived;
 };
 
 /// Relays responses of backend servers to a caller. A stream that resumes at another server keeps
@@ -81,7 +85,9 @@
     state::duration time_left() const;
     net::awaitable<relay_result> relay_events(http_stream& response);
     /// How a stream ended whose body has ended.
-    relay_result result_of_end(http_stream const& response, bool is_inside_event);
+    relay_result result_of_end(
+        http_stream const& response, coordination::body_proof proof, bool is_inside_event);
+    net::awaitable<coordination::body_proof> proof_of(http_stream const& response);
     net::awaitable<bool> begin(http_stream const& response);
     void record_events(std::size_t count);
     void report_intervals(std::optional<state::event_intervals> const& portion);
--- a/tests/integration/gateway_truncated_test.cpp
+++ b/tests/integration/gateway_truncated_test.cpp
@@ -52,6 +52,16 @@
                request.substr(at, request.find('\r', at) - at) + "\r\n";
     }
 
+    /// Answers a question whether the server runs, as sound servers do.
+    static bool answer_question(tcp::socket& s, std::string const& request)
+    {
+        if (!request.starts_with("GET"))
+            return false;
+        scripted_server::send(
+            s, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        return true;
+    }
+
     /// Answers requests with `respond`.
     scripted_server::script answer_uploads(
         std::function<void(tcp::socket&, std::string const&)> respond)
@@ -59,6 +69,7 @@
         return [this, respond](tcp::socket& s)
         {
             auto const request = scripted_server::read_request_header(s);
+            answer_question(s, request);
             if (!request.starts_with("POST"))
                 return; // A connection without a request shows that the server runs.
             ++uploads_;
@@ -160,7 +171,7 @@
         [](tcp::socket& s)
         {
             auto const request = scripted_server::read_request_header(s);
-            if (request.empty())
+            if (request.empty() || answer_question(s, request))
                 return;
             std::string body(request.find("\r\n\r\n") + 4 + upload_bytes - request.size(), '\0');
             boost::system::error_code error;
--- a/tests/unit/stream_end_test.cpp
+++ b/tests/unit/stream_end_test.cpp
@@ -59,17 +59,34 @@
     EXPECT_TRUE(is<stream_completed>());
 }
 
-TEST_F(stream_end_test, connection_that_ends_early_is_a_disconnection)
+// Guards against ORDER: the connections of a server that died taken for the end of its streams.
+TEST_F(stream_end_test, end_of_the_connection_alone_is_a_disconnection)
 {
-    end.framing = body_framing::connection;
+    end.proof = body_proof::none;
+    for (bool const has_events : {false, true})
+        for (bool const inside : {false, true})
+            for (bool const resumed : {false, true})
+                for (bool const of_events : {false, true})
+                {
+                    end.has_events = has_events;
+                    end.is_inside_event = inside;
+                    end.is_resumed = resumed;
+                    end.is_event_stream = of_events;
+                    EXPECT_TRUE(is<stream_disconnected>());
+                }
+}
+
+TEST_F(stream_end_test, connection_of_a_server_that_runs_on_ends_a_stream_like_a_last_chunk)
+{
+    end.proof = body_proof::outlived;
     EXPECT_TRUE(is<stream_completed>());
     end.is_inside_event = true;
-    EXPECT_TRUE(is<stream_disconnected>());
+    EXPECT_TRUE(is<stream_truncated>());
     end.is_inside_event = false;
     end.has_events = false;
-    EXPECT_TRUE(is<stream_disconnected>());
-    end.is_resumed = true; // A server that ends before its first event looks the same.
-    EXPECT_TRUE(is<stream_disconnected>());
+    EXPECT_TRUE(is<stream_truncated>());
+    end.is_resumed = true;
+    EXPECT_TRUE(is<stream_completed>());
 }
 
 } // namespace
