Space questions to servers that reset connections, and bound idle connections for them

Cause: a server at its connection limit resets each new connection, and the next question followed at once until the response's deadline. Up to 256 servers were remembered per worker, each with an idle connection, fewer than the deployment's size and without a share of the descriptors. Change: after a second question in a row without an answer the next one waits 50 ms; 128 idle connections and 1,024 servers per worker; they are closed with the other idle ones when descriptors run out.

--- a/src/coordination/liveness_check.cpp
+++ b/src/coordination/liveness_check.cpp
@@ -75,8 +75,11 @@
     if (std::holds_alternative<open_connection_failed>(result))
         record_failed_connection(now);
     question_opened_at_.reset();
-    bool const is_unsent = std::holds_alternative<question_unsent>(result);
-    not_before_ = is_unsent ? now + retry_delay : now;
+    bool const is_failed = std::holds_alternative<open_connection_failed>(result);
+    bool const is_unanswered = is_failed || std::holds_alternative<question_unsent>(result);
+    unanswered_in_row_ = is_unanswered ? unanswered_in_row_ + 1 : 0;
+    bool const may_repeat_at_once = is_failed && unanswered_in_row_ == 1;
+    not_before_ = is_unanswered && !may_repeat_at_once ? now + retry_delay : now;
     return decided;
 }
 
--- a/src/coordination/liveness_check.hpp
+++ b/src/coordination/liveness_check.hpp
@@ -81,7 +81,8 @@
 class liveness_check
 {
 public:
-    /// Wait after a question that could not be sent.
+    /// Wait after a question that was not answered. After the first one in a row the next question
+    /// is sent at once, as an idle connection may have been closed before.
     static constexpr state::duration retry_delay = std::chrono::milliseconds{50};
 
     void add(connection_end end);
@@ -120,7 +121,8 @@
 
     std::map<end_number, waiting_end> ends_;
     std::optional<state::time_point> question_opened_at_; ///< null: no question is on its way
-    state::time_point not_before_{};                      ///< of the next question
+    int unanswered_in_row_ = 0;
+    state::time_point not_before_{}; ///< of the next question
 
     /// When an open connection was last found to have failed. For responses that were requested
     /// before, only a named lifetime tells the process from its successor.
--- a/src/transport/connection_keeper.cpp
+++ b/src/transport/connection_keeper.cpp
@@ -33,7 +33,13 @@
     for (std::size_t i = 0; i < context_.workers.size(); ++i)
     {
         auto& w = context_.workers.at(i);
-        net::post(w.io(), [&w] { w.http().idle().close_all(); });
+        net::post(
+            w.io(),
+            [&w]
+            {
+                w.http().idle().close_all();
+                w.liveness().close_idle();
+            });
     }
 }
 
--- a/src/transport/liveness_checker.cpp
+++ b/src/transport/liveness_checker.cpp
@@ -52,6 +52,8 @@
     }
     if (checked->witness || checked->is_opening || now() < checked->no_witness_until)
         return;
+    if (witnesses() >= max_witnesses)
+        return;
     checked->is_opening = true;
     net::co_spawn(io_, open_witness(std::move(checked)), net::detached);
 }
@@ -192,6 +194,13 @@
     co_return result;
 }
 
+std::size_t liveness_checker::witnesses() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        servers_,
+        [](auto const& entry) { return entry.second->witness || entry.second->is_opening; }));
+}
+
 void liveness_checker::close_unused()
 {
     std::erase_if(
@@ -203,4 +212,10 @@
         });
 }
 
+void liveness_checker::close_idle()
+{
+    for (auto const& [life, checked] : servers_)
+        checked->witness.reset();
+}
+
 } // namespace auburnweir::transport
--- a/src/transport/liveness_checker.hpp
+++ b/src/transport/liveness_checker.hpp
@@ -44,7 +44,10 @@
 public:
     /// Servers of which something is kept; beyond, the one that was used least recently is
     /// forgotten.
-    static constexpr std::size_t max_servers = 256;
+    static constexpr std::size_t max_servers = 1024;
+
+    /// Idle connections for questions. Servers beyond are asked on new ones.
+    static constexpr std::size_t max_witnesses = 128;
 
     /// Connections are kept for this long after their server's last response that ended with its
     /// connection.
@@ -69,6 +72,9 @@
     /// Closes connections that were not used for long.
     void close_unused();
 
+    /// Closes all idle connections, to get their descriptors.
+    void close_idle();
+
     /// Number of questions that were sent since the last call.
     std::uint64_t take_questions() { return std::exchange(questions_, 0); }
 
@@ -106,6 +112,7 @@
 
     checked_server_ptr entry_of(asked_server const& server);
     void forget_least_recently_used();
+    std::size_t witnesses() const;
     /// Opens a connection and keeps it once a question is answered on it. An idle connection would
     /// block a server that serves one connection at a time.
     net::awaitable<void> open_witness(checked_server_ptr checked);
--- a/tests/unit/liveness_check_test.cpp
+++ b/tests/unit/liveness_check_test.cpp
@@ -87,6 +87,16 @@
     }
 }
 
+// Guards against connections in quick succession to a server that resets them as it has too many.
+TEST_F(liveness_check_test, questions_after_failed_connections_are_spaced)
+{
+    EXPECT_EQ(outlived(50, open_connection_failed{}), 0U);
+    EXPECT_TRUE(check.wants_question(at(210)));
+    EXPECT_EQ(outlived(205, open_connection_failed{}), 0U);
+    EXPECT_FALSE(check.wants_question(at(210)));
+    EXPECT_TRUE(check.wants_question(at(210) + liveness_check::retry_delay));
+}
+
 TEST_F(liveness_check_test, unsent_question_is_repeated_until_the_deadlines)
 {
     EXPECT_EQ(outlived(205, question_unsent{}), 0U);
