--- a/src/transport/response_writer.cpp
+++ b/src/transport/response_writer.cpp
@@ -184,8 +184,7 @@
 void response_writer::set_close_effect(close_effect effect)
 {
     is_guarded_ = effect == close_effect::reset;
-    // Not with Asio's option: Asio takes it back when it destroys the socket, as it does when the
-    // process stops.
+    // Set directly: Asio takes its own option back when it destroys an open socket.
     ::linger option{};
     option.l_onoff = is_guarded_ ? 1 : 0;
     option.l_linger = 0;
