--- a/src/coordination/attempt_policy.cpp
+++ b/src/coordination/attempt_policy.cpp
@@ -50,6 +50,13 @@
     return may_execute_again(progress) && another_attempt_is_worthwhile(progress, limits);
 }
 
+bool may_follow_refusal(attempt_progress const& progress, attempt_limits const& limits)
+{
+    auto after_next = progress;
+    ++after_next.attempts;
+    return another_attempt_is_worthwhile(after_next, limits);
+}
+
 attempt_decision decide_attempt(
     failed_attempt_kind const& failed, attempt_progress const& progress, bool budget_left,
     attempt_limits const& limits)
--- a/src/coordination/attempt_policy.hpp
+++ b/src/coordination/attempt_policy.hpp
@@ -92,6 +92,9 @@
 /// Whether a request whose attempt is abandoned could be sent to another backend server.
 bool may_retry(attempt_progress const& progress, attempt_limits const& limits = {});
 
+/// Whether another attempt could follow the next one, if that does not run.
+bool may_follow_refusal(attempt_progress const& progress, attempt_limits const& limits = {});
+
 /// Decides how to proceed after a failed attempt. A retry still has to be acquired from the retry
 /// budget.
 /// @param budget_left  whether the retry budget allows a retry now
--- a/src/coordination/retry_budget.cpp
+++ b/src/coordination/retry_budget.cpp
@@ -1,5 +1,8 @@
 #include "coordination/retry_budget.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace auburnweir::coordination
 {
 
@@ -48,4 +51,51 @@
     return true;
 }
 
+void retry_budget::release(state::service_id const& service, state::time_point acquired_at)
+{
+    state::ranked_lock lock(mutex_);
+    auto& retries = histories_[service].retries;
+    // It may have left the window.
+    auto const released = std::find(retries.begin(), retries.end(), acquired_at);
+    if (released != retries.end())
+        retries.erase(released);
+}
+
+std::optional<held_retry> held_retry::acquire(
+    retry_budget& budget, state::service_id const& service, state::time_point now)
+{
+    if (!budget.try_acquire(service, now))
+        return std::nullopt;
+    return held_retry{budget, service, now};
+}
+
+held_retry::held_retry(held_retry&& other) noexcept
+    : budget_(std::exchange(other.budget_, nullptr))
+    , service_(std::move(other.service_))
+    , acquired_at_(other.acquired_at_)
+{
+}
+
+held_retry& held_retry::operator=(held_retry&& other) noexcept
+{
+    if (this == &other)
+        return *this;
+    release();
+    budget_ = std::exchange(other.budget_, nullptr);
+    service_ = std::move(other.service_);
+    acquired_at_ = other.acquired_at_;
+    return *this;
+}
+
+held_retry::~held_retry()
+{
+    release();
+}
+
+void held_retry::release()
+{
+    if (auto* const budget = std::exchange(budget_, nullptr))
+        budget->release(service_, acquired_at_);
+}
+
 } // namespace auburnweir::coordination
--- a/src/coordination/retry_budget.hpp
+++ b/src/coordination/retry_budget.hpp
@@ -6,6 +6,7 @@
 #include "state/time.hpp"
 
 #include <deque>
+#include <optional>
 #include <unordered_map>
 
 namespace auburnweir::coordination
@@ -43,6 +44,9 @@
     /// @return false when the budget of the window is exhausted
     bool try_acquire(state::service_id const& service, state::time_point now);
 
+    /// Returns a retry that was acquired at a time and not used.
+    void release(state::service_id const& service, state::time_point acquired_at);
+
 private:
     struct history
     {
@@ -58,6 +62,38 @@
     std::unordered_map<state::service_id, history> histories_;
 };
 
+/// A retry that is acquired before the attempt that may need it; released unless it is used.
+class held_retry
+{
+public:
+    /// @return null when the budget is exhausted
+    static std::optional<held_retry> acquire(
+        retry_budget& budget, state::service_id const& service, state::time_point now);
+
+    held_retry(held_retry&& other) noexcept;
+    held_retry& operator=(held_retry&& other) noexcept;
+    held_retry(held_retry const&) = delete;
+    held_retry& operator=(held_retry const&) = delete;
+    ~held_retry();
+
+    /// Keeps the retry charged to the budget.
+    void use() { budget_ = nullptr; }
+
+private:
+    held_retry(retry_budget& budget, state::service_id service, state::time_point acquired_at)
+        : budget_(&budget)
+        , service_(std::move(service))
+        , acquired_at_(acquired_at)
+    {
+    }
+
+    void release();
+
+    retry_budget* budget_; ///< null once the retry is used, released or moved
+    state::service_id service_;
+    state::time_point acquired_at_;
+};
+
 } // namespace auburnweir::coordination
 
 #endif
--- a/src/coordination/server_choice.cpp
+++ b/src/coordination/server_choice.cpp
@@ -132,16 +132,23 @@
         [&](server_view const& v) { return request.tried_backends.contains(v.listed.id); });
     if (servers.empty())
         return std::nullopt;
-    bool const any_not_refusing = std::any_of(
-        servers.begin(), servers.end(),
-        [&](server_view const& v) { return !v.refused_recently(now); });
-    if (any_not_refusing)
-        std::erase_if(servers, [&](server_view const& v) { return v.refused_recently(now); });
+    erase_unless_all(servers, [&](server_view const& v) { return is_refusing(v, request, now); });
+    erase_unless_all(servers, [&](server_view const& v) { return v.refused_recently(now); });
     return placed_server{choice(with_loads(std::move(servers), now), own_share), std::nullopt};
 }
 
 } // namespace
 
+bool is_refusing(server_view const& view, choice_request const& request, state::time_point now)
+{
+    return view.refused_recently(now) || (!request.can_retry_refusal && view.may_refuse_again(now));
+}
+
+bool needs_held_retry(server_view const& view, choice_request const& request, state::time_point now)
+{
+    return request.can_retry_refusal && view.may_refuse_again(now);
+}
+
 std::optional<placed_server> place_request(
     choice_policy const& policy, std::vector<server_view> servers, choice_request const& request,
     state::time_point now, std::mt19937_64& random)
--- a/src/coordination/server_choice.hpp
+++ b/src/coordination/server_choice.hpp
@@ -5,6 +5,7 @@
 #include "state/forwarded_request.hpp"
 #include "state/server_table.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <random>
 #include <set>
@@ -23,8 +24,28 @@
     std::set<state::backend_id> tried_backends; ///< in earlier attempts; never chosen
     state::instance_id instance;                ///< this instance
     state::token_count shared_tokens{0};        ///< of the segments that other requests share
+    /// Whether a retry can follow a refusal. If not, a server whose last response was a refusal is
+    /// chosen only when there is no other: its next refusal would be the caller's.
+    bool can_retry_refusal = true;
 };
 
+/// Whether others are preferred to a server for this request, as it refused one.
+bool is_refusing(
+    state::server_view const& view, choice_request const& request, state::time_point now);
+
+/// Whether a retry is acquired before the request is sent to this server. Requests that ask at the
+/// same time would else all rely on the last retry of the budget.
+bool needs_held_retry(
+    state::server_view const& view, choice_request const& request, state::time_point now);
+
+/// Removes the elements that meet the predicate if others are left.
+template <class Elements, class Predicate>
+void erase_unless_all(Elements& elements, Predicate const& predicate)
+{
+    if (!std::all_of(elements.begin(), elements.end(), predicate))
+        std::erase_if(elements, predicate);
+}
+
 /// Chooses the least loaded server and prefers servers in the own failure domain.
 struct nearest_least_loaded
 {
--- a/src/coordination/weighted_choice.cpp
+++ b/src/coordination/weighted_choice.cpp
@@ -46,7 +46,8 @@
     double weight = 1;
     double slots = 1;
     bool tried = false;
-    bool refusing = false;
+    bool refusing = false;         ///< for this request
+    bool refused_recently = false; ///< for any
     bool in_lane = true;
 
     bool is_full() const { return load >= slots; }
@@ -286,7 +287,8 @@
         c.weight = weights[i];
         c.slots = static_cast<double>(std::max<std::int64_t>(1, v.listed.slots));
         c.tried = request.tried_backends.contains(v.listed.id);
-        c.refusing = v.refused_recently(now);
+        c.refusing = is_refusing(v, request, now);
+        c.refused_recently = v.refused_recently(now);
     }
     return all;
 }
@@ -344,9 +346,8 @@
     std::erase_if(all, [](candidate const& c) { return c.tried; });
     if (all.empty())
         return std::nullopt;
-    auto const refuses = [](candidate const& c) { return c.refusing; };
-    if (!std::all_of(all.begin(), all.end(), refuses))
-        std::erase_if(all, refuses);
+    erase_unless_all(all, [](candidate const& c) { return c.refusing; });
+    erase_unless_all(all, [](candidate const& c) { return c.refused_recently; });
     weighted_chooser chooser(servers, request, now, random);
     auto const chosen = over_deployment ? chooser.over_deployment(std::move(all))
                                         : chooser.in_subset(all, own_share);
--- a/src/state/server_table.cpp
+++ b/src/state/server_table.cpp
@@ -517,6 +517,7 @@
         full_time *= full_time_factor;
     v.refused_at = now;
     v.full_until = std::max(v.full_until, now + full_time);
+    v.doubted_until = std::max(v.doubted_until, now + full_time * full_time_factor);
 }
 
 std::optional<server_view> server_table::record_end(
@@ -542,6 +543,7 @@
         v.failure_share *= 1 - failure_share_weight;
         v.refusals_in_row = 0;
         v.full_until = std::min(v.full_until, v.refused_at + min_full_time);
+        v.doubted_until = {};
         break;
     case server_outcome::failed:
     case server_outcome::unreachable:
--- a/src/state/server_table.hpp
+++ b/src/state/server_table.hpp
@@ -71,6 +71,8 @@
     int refusals_in_row = 0; ///< without an answer in between; those at the same time count once
     time_point refused_at{}; ///< when the server last refused a request
     time_point full_until{}; ///< others are preferred until then, as the server refused a request
+    /// Until then others are preferred for requests whose refusal could not be followed by a retry.
+    time_point doubted_until{};
     std::optional<time_point> unnamed_refusal_at; ///< when a refusal last named no request
     double failure_share = 0;                     ///< of recent requests, exponentially smoothed
     /// Set for a server that is no longer listed after a store outage: until when it is used.
@@ -89,6 +91,12 @@
 
     bool refused_recently(time_point now) const { return now <= full_until; }
 
+    /// Whether its last response was a refusal, not long ago: the next one may be another.
+    bool may_refuse_again(time_point now) const
+    {
+        return refusals_in_row > 0 && now <= doubted_until;
+    }
+
     bool is_cold(time_point now) const { return cold_until && *cold_until > now; }
 };
 
--- a/src/transport/forwarder.cpp
+++ b/src/transport/forwarder.cpp
@@ -235,9 +235,14 @@
             co_await finish_quarantined(*refused);
             co_return;
         }
-        auto const selection = selector_->select();
-        if (auto const* selected = std::get_if<server_selected>(&selection))
+        progress_.time_left = time_left();
+        auto selection = selector_->select(coordination::may_follow_refusal(progress_));
+        if (auto* selected = std::get_if<server_selected>(&selection))
+        {
+            held_retry_ = std::move(selected->retry);
             co_await run_attempt(selected->server);
+            held_retry_.reset();
+        }
         else if (auto const* closed = std::get_if<servers_closed>(&selection))
             co_await wait_or_refuse(closed->until);
         else if (progress_.possibly_executed > 0)
@@ -413,6 +418,7 @@
                                     : retry_reason::backend_overloaded});
         co_return;
     }
+    held_retry_.reset();
     ++progress_.possibly_executed;
     recorder_.record_start(organisation_);
     bool const failed = status >= first_server_error_status || states_not_run(status) ||
@@ -510,7 +516,7 @@
         // The budget limits what arrives at servers; these attempts were not sent.
         bool const is_free = retry_decision->cause == retry_reason::relay_refused ||
                              retry_decision->cause == retry_reason::connect_failed;
-        if (is_free || context_.tables.retry_budget.try_acquire(service_, now()))
+        if (is_free || acquire_retry())
         {
             context_.tables.counters.increment(retry_decision->cause);
             log_attempt(server, name_of(retry_decision->cause), "send_again");
@@ -535,6 +541,15 @@
     }
 }
 
+bool forwarder::acquire_retry()
+{
+    if (!held_retry_)
+        return context_.tables.retry_budget.try_acquire(service_, now());
+    held_retry_->use();
+    held_retry_.reset();
+    return true;
+}
+
 void forwarder::give_up(state::give_up_reason cause)
 {
     gave_up_ = cause;
--- a/src/transport/forwarder.hpp
+++ b/src/transport/forwarder.hpp
@@ -52,6 +52,8 @@
     net::awaitable<bool> relays_failure(state::server_view const& server, http_stream& response);
     net::awaitable<void> handle_failed_attempt(
         state::server_view const& server, coordination::failed_attempt_kind failed);
+    /// Acquires a retry, or uses the one that was acquired before the attempt.
+    bool acquire_retry();
     /// Records why the failed attempt is not followed by another.
     void give_up(state::give_up_reason cause);
     net::awaitable<void> finish_not_run(
@@ -91,10 +93,11 @@
     quarantine_gate quarantine_;
     server_liveness liveness_;
     coordination::attempt_progress progress_;
-    attempt_trace trace_;                     ///< of the last attempt
-    std::optional<response_relay> relay_;     ///< set when the request is admitted
-    std::optional<server_selector> selector_; ///< the same
-    state::listed_server answering_server_;   ///< whose response is relayed
+    attempt_trace trace_;                                ///< of the last attempt
+    std::optional<response_relay> relay_;                ///< set when the request is admitted
+    std::optional<server_selector> selector_;            ///< the same
+    std::optional<coordination::held_retry> held_retry_; ///< until the server has accepted
+    state::listed_server answering_server_;              ///< whose response is relayed
     std::string resume_after_;
     std::optional<state::give_up_reason> gave_up_;
     std::string quarantined_segment_; ///< id of the segment for which the request is refused
--- a/src/transport/server_selector.cpp
+++ b/src/transport/server_selector.cpp
@@ -17,10 +17,12 @@
     return choice_.tried_backends.contains(id);
 }
 
-server_selection server_selector::select()
+server_selection server_selector::select(bool may_follow_refusal)
 {
+    auto& budget = context_.tables.retry_budget;
     for (;;)
     {
+        choice_.can_retry_refusal = may_follow_refusal && budget.allows(service_, now());
         auto available = pool();
         bool const is_any_permitted = !available.open.empty() || !available.closed.empty();
         if (!is_any_permitted && available.barred > 0)
@@ -33,6 +35,14 @@
         if (!placed)
             return servers_closed{
                 std::ranges::min(available.closed, {}, &state::closed_server::until).until};
+        std::optional<coordination::held_retry> retry;
+        if (coordination::needs_held_retry(placed->server, choice_, now()))
+        {
+            retry = coordination::held_retry::acquire(budget, service_, now());
+            // Another request has acquired the last retry meanwhile.
+            if (!retry)
+                continue;
+        }
         // Another worker may have used the server's last request meanwhile, and a newer
         // configuration may no longer permit the server.
         if (!context_.tables.servers.try_send(
@@ -41,7 +51,7 @@
         choice_.tried_backends.insert(placed->server.listed.id);
         if (placed->placement)
             count(*placed->placement);
-        return server_selected{std::move(placed->server)};
+        return server_selected{std::move(placed->server), std::move(retry)};
     }
 }
 
--- a/src/transport/server_selector.hpp
+++ b/src/transport/server_selector.hpp
@@ -1,6 +1,7 @@
 #ifndef AUBURNWEIR_TRANSPORT_SERVER_SELECTOR_HPP
 #define AUBURNWEIR_TRANSPORT_SERVER_SELECTOR_HPP
 
+#include "coordination/retry_budget.hpp"
 #include "coordination/server_choice.hpp"
 #include "transport/gateway_context.hpp"
 #include "transport/request_placement.hpp"
@@ -12,6 +13,9 @@
 struct server_selected
 {
     state::server_view server;
+    /// For the attempt after a refusal; null when the server is not expected to refuse, or no retry
+    /// is left.
+    std::optional<coordination::held_retry> retry;
 };
 
 /// All servers that are left have said that they take nothing before this time.
@@ -52,7 +56,9 @@
 
     /// Every path that sends to a server asks here, so that what servers say of themselves holds
     /// for all of them.
-    server_selection select();
+    /// @param may_follow_refusal  whether another attempt may follow a refusal, apart from the
+    ///                            retry budget
+    server_selection select(bool may_follow_refusal);
 
     /// Lets a server be selected again to which nothing was sent.
     void release(state::backend_id const& id) { choice_.tried_backends.erase(id); }
--- a/tests/unit/attempt_policy_test.cpp
+++ b/tests/unit/attempt_policy_test.cpp
@@ -134,6 +134,17 @@
     EXPECT_TRUE(is<reply_outcome_unknown>(decide_attempt(denied, once, true)));
 }
 
+TEST_F(attempt_policy_test, refusal_of_the_last_attempt_can_not_be_followed)
+{
+    auto p = after_one_attempt(retry_rule::at_most_once, false);
+    EXPECT_TRUE(may_follow_refusal(p));
+    p.attempts = 3;
+    EXPECT_FALSE(may_follow_refusal(p));
+    p.attempts = 1;
+    p.time_left = 10ms;
+    EXPECT_FALSE(may_follow_refusal(p));
+}
+
 class retry_budget_test : public testing::Test
 {
 protected:
@@ -181,5 +192,38 @@
     EXPECT_TRUE(budget.try_acquire(state::service_id{"other"}, now));
 }
 
+TEST_F(retry_budget_test, held_retry_that_is_not_used_is_released)
+{
+    {
+        auto const held = held_retry::acquire(budget, desk, now);
+        ASSERT_TRUE(held);
+        EXPECT_FALSE(budget.allows(desk, now));
+        EXPECT_FALSE(held_retry::acquire(budget, desk, now));
+    }
+    EXPECT_TRUE(budget.try_acquire(desk, now));
+}
+
+TEST_F(retry_budget_test, held_retry_that_is_used_stays_charged)
+{
+    {
+        auto held = held_retry::acquire(budget, desk, now);
+        ASSERT_TRUE(held);
+        auto moved = std::move(held);
+        moved->use();
+    }
+    EXPECT_FALSE(budget.allows(desk, now));
+    now += 11s;
+    EXPECT_TRUE(budget.allows(desk, now));
+}
+
+TEST_F(retry_budget_test, held_retry_that_outlives_the_window_releases_no_other)
+{
+    auto held = held_retry::acquire(budget, desk, now);
+    now += 11s;
+    EXPECT_TRUE(budget.try_acquire(desk, now));
+    held.reset();
+    EXPECT_FALSE(budget.allows(desk, now));
+}
+
 } // namespace
 } // namespace auburnweir::coordination
