Failing tests of answers that end with their connection (MIXED)

A service that is killed with SIGKILL in the middle of an answer with neither a length nor chunks has its connection closed by the kernel with a FIN. The entry program takes the first half for the operation's answer, passes it on and stores it in the ledger, so that repetitions get it too. Objects of the platform's store and pages for auburnweirctl are taken for whole in the same way.

--- a/tests/integration/ctl_test.cpp
+++ b/tests/integration/ctl_test.cpp
@@ -1,5 +1,6 @@
 #include "support/deployment.hpp"
 #include "support/gateway_deployment.hpp"
+#include "support/scripted_server.hpp"
 #include "support/temporary_file.hpp"
 
 #include <cstdio>
@@ -51,6 +52,19 @@
     EXPECT_EQ(run({"--at", "127.0.0.1:1", "show"}).exit_code, 1);
 }
 
+// Guards against counters that are missing from a page that was cut.
+TEST_F(ctl_test, counters_of_page_that_ends_with_its_connection_fail)
+{
+    scripted_server server(
+        [](tcp::socket& s)
+        {
+            scripted_server::read_request_header(s);
+            scripted_server::send(s, "HTTP/1.1 200 OK\r\n\r\nauburnweir_a_total 1\nauburn");
+        });
+    auto const at = "127.0.0.1:" + std::to_string(server.port());
+    EXPECT_EQ(run({"--at", at, "counters"}).exit_code, 1);
+}
+
 TEST_F(ctl_test, commands_at_running_gateway_print_its_state)
 {
     gateway_deployment system{gateway_deployment_plan{}};
--- a/tests/integration/operations_test.cpp
+++ b/tests/integration/operations_test.cpp
@@ -39,6 +39,31 @@
             deployment::control(system->service(i), fault);
     }
 
+    /// Services send answers with neither a length nor chunks, in two parts.
+    void send_unframed_answers(std::string const& content_type, int pause_ms)
+    {
+        set_service_faults({{"unframed_pause_ms", pause_ms}, {"content_type", content_type}});
+    }
+
+    /// Kills the services that have begun to answer; their kernel closes the connections with a
+    /// FIN.
+    /// @return how many
+    int kill_running_services(std::string const& key)
+    {
+        eventually([&] { return system->run_count(key) > 0; });
+        std::this_thread::sleep_for(std::chrono::milliseconds{100});
+        int killed = 0;
+        for (int i = 0; i < 2; ++i)
+        {
+            auto& service = system->service(i);
+            if (!call(service.port(), "GET", "/runs").parsed().contains(key))
+                continue;
+            service.kill();
+            ++killed;
+        }
+        return killed;
+    }
+
     std::optional<deployment> system;
 };
 
@@ -236,6 +261,57 @@
     EXPECT_EQ(system->run_count("k"), 1);
 }
 
+// Guards against MIXED: the first half of an answer passed on and stored as the operation's answer.
+TEST_F(operations_test, unframed_answer_of_service_killed_in_the_middle_is_outcome_unknown)
+{
+    for (std::string const type : {"text/plain", "application/json"})
+    {
+        deploy();
+        send_unframed_answers(type, 2000);
+        received_response response;
+        std::thread caller([&] { response = book(0, "k"); });
+        EXPECT_EQ(kill_running_services("k"), 1);
+        caller.join();
+        EXPECT_EQ(response.run_outcome(), "outcome_unknown") << type << response.body;
+        auto const repeated = book(1, "k");
+        EXPECT_EQ(repeated.run_outcome(), "outcome_unknown") << type << repeated.body;
+    }
+}
+
+// Guards against MIXED: the same where another service can answer.
+TEST_F(operations_test, idempotent_operation_of_service_killed_in_the_middle_runs_at_another)
+{
+    deploy();
+    send_unframed_answers("application/json", 1000);
+    received_response response;
+    std::thread caller([&] { response = look_up("i", "date"); });
+    EXPECT_EQ(kill_running_services("i"), 1);
+    caller.join();
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(protocol::text_at(response.parsed(), "echo"), "date") << response.body;
+}
+
+// Guards against sound services whose answers are lost: a whole JSON document proves itself.
+TEST_F(operations_test, unframed_json_answer_of_running_service_is_passed_on)
+{
+    deploy();
+    send_unframed_answers("application/json", 10);
+    auto const response = book(0, "k");
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(protocol::text_at(response.parsed(), "echo"), "two vans");
+    EXPECT_EQ(book(1, "k").body, response.body);
+}
+
+// Guards against an end that proves nothing: nothing tells this answer from one that was cut.
+TEST_F(operations_test, unframed_text_answer_is_outcome_unknown)
+{
+    deploy();
+    send_unframed_answers("text/plain", 10);
+    EXPECT_EQ(book(0, "k").run_outcome(), "outcome_unknown");
+    EXPECT_EQ(book(1, "k").run_outcome(), "outcome_unknown");
+    EXPECT_EQ(system->run_count("k"), 1);
+}
+
 // Guards against a status that is none, stored as the answer and passed on.
 TEST_F(operations_test, operation_with_invalid_status_is_outcome_unknown)
 {
--- a/tests/integration/platform_client_test.cpp
+++ b/tests/integration/platform_client_test.cpp
@@ -2,6 +2,7 @@
 #include "support/scripted_server.hpp"
 #include "transport/platform_client.hpp"
 
+#include <atomic>
 #include <gtest/gtest.h>
 
 namespace auburnweir::tests
@@ -47,6 +48,8 @@
         auto const request = scripted_server::read_request_header(socket);
         auto const response = response_to(request);
         scripted_server::send(socket, response);
+        if (ends_early)
+            return;
         // The rest of the first request's body comes ahead of the next header.
         while (contains(scripted_server::read_request_header(socket), " HTTP/1.1\r\n"))
             scripted_server::send(socket, response);
@@ -56,6 +59,8 @@
     {
         auto const target = request.substr(0, request.find(" HTTP/1.1\r\n"));
         auto const body = body_for(target);
+        if (ends_early)
+            return "HTTP/1.1 200 OK\r\n\r\n" + body.substr(0, body.size() / 2);
         return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
                body;
     }
@@ -74,6 +79,12 @@
     }
 
     std::uint64_t last_version_ = 0;
+
+protected:
+    /// Responses have neither a length nor chunks, and the connection ends in their middle.
+    std::atomic<bool> ends_early{false};
+
+private:
     scripted_server server_{[this](tcp::socket& s) { serve(s); }};
     transport::net::io_context io_;
     transport::http_client http_{io_};
@@ -131,5 +142,26 @@
     }
 }
 
+// Guards against MIXED: part of a stored answer taken for the whole.
+TEST_F(platform_client_test, object_that_ends_with_its_connection_is_not_read)
+{
+    ends_early = true;
+    EXPECT_FALSE(result_of(platform.read_object("a")).has_value());
+}
+
+// Guards against rows, and results of writes, of which part is missing.
+TEST_F(platform_client_test, rows_and_writes_whose_responses_are_cut_are_lost)
+{
+    ends_early = true;
+    EXPECT_FALSE(result_of(platform.scan("a/", {}, 10)).has_value());
+    auto const row = result_of(platform.read(state::row_key{"a"}));
+    EXPECT_TRUE(std::holds_alternative<state::read_failed>(row));
+    auto const results = result_of(platform.transact(one_write("a")));
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<state::write_response_lost>(results.front()));
+    EXPECT_FALSE(result_of(platform.read_instances(0)).has_value());
+    EXPECT_FALSE(result_of(platform.read_notices()).has_value());
+}
+
 } // namespace
 } // namespace auburnweir::tests
--- a/tools/standins/service.cpp
+++ b/tools/standins/service.cpp
@@ -63,7 +63,25 @@
         if (repeat_answers_ && !connection.last_exchange.empty())
             co_await send_json(connection, 200, *protocol::parse_json(connection.last_exchange));
         connection.last_exchange = protocol::dump(body);
-        co_await send_json(connection, 200, body);
+        if (unframed_pause_ms_ > 0)
+            co_await send_unframed(connection.last_exchange, connection);
+        else
+            co_await send_json(connection, 200, body);
+    }
+
+    /// Sends a body with neither a length nor chunks in two parts.
+    net::awaitable<void> send_unframed(std::string body, standin_connection& connection)
+    {
+        transport::caller_response response;
+        response.content_type = content_type_;
+        co_await connection.writer.begin(std::move(response), transport::unframed_body{});
+        auto first = body.substr(0, body.size() / 2);
+        co_await connection.writer.send_part(std::move(first));
+        co_await transport::sleep_for(io_, std::chrono::milliseconds{unframed_pause_ms_});
+        auto rest = body.substr(body.size() / 2);
+        co_await connection.writer.send_part(std::move(rest));
+        boost::system::error_code ignored;
+        connection.stream.socket().close(ignored);
     }
 
     static json response_body(
@@ -89,6 +107,8 @@
         not_run_ = protocol::flag_at(*body, "not_run", not_run_);
         repeat_answers_ = protocol::flag_at(*body, "repeat_answers", repeat_answers_);
         cut_after_effect_ = protocol::flag_at(*body, "cut_after_effect", cut_after_effect_);
+        unframed_pause_ms_ = protocol::integer_at(*body, "unframed_pause_ms", unframed_pause_ms_);
+        content_type_ = protocol::text_at(*body, "content_type", content_type_);
         co_await send_status(connection, 200);
     }
 
@@ -107,6 +127,9 @@
     bool not_run_ = false;
     bool repeat_answers_ = false; ///< sends each answer once more, ahead of the connection's next
     bool cut_after_effect_ = false;
+    /// Between the two parts of an answer that ends with its connection; 0: answers have a length.
+    std::int64_t unframed_pause_ms_ = 0;
+    std::string content_type_ = "application/json"; ///< of unframed answers
 };
 
 } // namespace
