--- a/src/programs/ctl.cpp
+++ b/src/programs/ctl.cpp
@@ -88,14 +88,15 @@
             transport::http_request request;
             request.target = path;
             auto response = co_await client.call(*address, std::move(request), call_timeout);
-            if (response && response.value().status == status_ok)
+            bool const is_whole = response && !response.value().ends_with_connection();
+            if (is_whole && response.value().status == status_ok)
                 body = std::move(response.value().body);
             io.stop();
         },
         transport::net::detached);
     io.run_for(call_timeout * 2);
     if (!body)
-        std::cerr << at << path << " did not respond with status 200\n";
+        std::cerr << at << path << " did not respond with status 200 and a whole page\n";
     return body;
 }
 
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -547,6 +547,7 @@
     http_response response;
     response.status = stream.status();
     response.headers = stream.headers();
+    response.framing = stream.framing();
     body_limits limits;
     limits.size = max_called_body;
     limits.timeout = timeout;
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -50,6 +50,12 @@
     int status = 0;
     http_fields headers;
     std::string body;
+
+    /// What marked the body's end. If it is the connection's, the body may be the start of one
+    /// whose server has died: the kernel closes the connections of a killed process with a FIN.
+    state::body_framing framing = state::body_framing::length;
+
+    bool ends_with_connection() const { return framing == state::body_framing::connection; }
 };
 
 /// Which connection a call uses. The server may have closed an idle connection, and then it is
--- a/src/transport/operation_caller.cpp
+++ b/src/transport/operation_caller.cpp
@@ -1,6 +1,7 @@
 #include "transport/operation_caller.hpp"
 
 #include "protocol/engine_codec.hpp"
+#include "protocol/whole_document.hpp"
 #include "transport/clock.hpp"
 
 namespace auburnweir::transport
@@ -26,6 +27,15 @@
     return header_value(response.headers, "X-Operation-Run") == "not_run";
 }
 
+/// Whether all of the body has come. A service that was killed ends a body without a length and
+/// chunks as one that has sent all of it, and services offer nothing that could be asked instead.
+bool is_whole(http_response const& response)
+{
+    return !response.ends_with_connection() ||
+           protocol::proves_itself_whole(
+               header_value(response.headers, "Content-Type"), response.body);
+}
+
 } // namespace
 
 operation_caller::operation_caller(
@@ -155,6 +165,8 @@
         context_.mark_leaving(backend.id, std::nullopt, worker_.random());
     if (states_not_run(response))
         return {coordination::backend_did_not_run{}, state::retry_reason::not_run_by_backend};
+    if (!is_whole(response))
+        return {coordination::backend_response_lost{}, state::retry_reason::stream_cut};
     state::operation_answer answer{
         response.status, header_value(response.headers, "Content-Type"), std::move(response.body)};
     if (!idempotent || response.status < min_server_error_status)
--- a/src/transport/platform_client.cpp
+++ b/src/transport/platform_client.cpp
@@ -149,7 +149,11 @@
 {
     http_request call;
     call.target = "/objects/" + protocol::url_encoded(name);
-    co_return body_of(co_await call_alone(std::move(call)));
+    auto response = co_await call_alone(std::move(call));
+    // An object may have any content, so only a length or chunks show that it is whole.
+    if (response && response.value().ends_with_connection())
+        co_return std::nullopt;
+    co_return body_of(std::move(response));
 }
 
 net::awaitable<std::optional<instance_list>> platform_client::read_instances(
