Don't take a resumed run without events for whole when another event had begun (ORDER)

Cause: a run that is resumed after an event and sends a last chunk and no events counts as one that has none left. If the run before broke off inside the next event, at least that one is left.

Change: response_relay keeps whether a server has sent the start of the event after the last; classify_stream_end takes it.

--- a/src/coordination/stream_end.hpp
+++ b/src/coordination/stream_end.hpp
@@ -23,6 +23,10 @@
     bool is_resumed = false;     ///< the request asked for the events after one that it has
     bool has_events = false;     ///< at least one event is complete
     bool is_inside_event = false;
+
+    /// An earlier run broke off inside the event that follows the caller's last one, so that a
+    /// resumed run has at least that one left.
+    bool has_begun_next_event = false;
 };
 
 /// The server has sent its last event.
@@ -46,8 +50,9 @@
 /// Decides whether a stream whose body has ended is complete.
 ///
 /// The end of a body proves nothing alone: a faulty server may mark it inside an event, or before
-/// the first. A run that begins to answer sends an event, but a resumed one may have none left. The
-/// end of a connection proves nothing of the body either, see `liveness_check`.
+/// the first. A run that begins to answer sends an event, but a resumed one may have none left,
+/// unless the start of another is known. The end of a connection proves nothing of the body either,
+/// see `liveness_check`.
 stream_end_kind classify_stream_end(stream_end const& end);
 
 } // namespace auburnweir::coordination
--- a/src/transport/response_relay.cpp
+++ b/src/transport/response_relay.cpp
@@ -197,6 +197,7 @@
     end.is_resumed = request_.is_resumed || !last_event_id_.empty();
     end.has_events = first_event_at_.has_value();
     end.is_inside_event = is_inside_event;
+    end.has_begun_next_event = next_event_begun_;
     auto const result = std::visit(
         state::overloaded{
             [](coordination::stream_completed const&) { return relay_result::complete; },
@@ -217,6 +218,7 @@
     state::memory_reservation memory(context_.tables.buffer_memory);
     auto silent_since = now();
     bool delayed_by_caller = false;
+    bool begun_before = next_event_begun_; ///< by an earlier attempt
     for (;;)
     {
         auto const left = time_left();
@@ -259,7 +261,9 @@
             if (delayed_by_caller)
                 intervals_.skip_next();
             record_events(events.last_content_events());
+            begun_before = false;
         }
+        next_event_begun_ = begun_before || events.is_inside_event();
         if (ended)
         {
             auto const proof = co_await proof_of(response);
--- a/src/transport/response_relay.hpp
+++ b/src/transport/response_relay.hpp
@@ -101,6 +101,8 @@
     bool has_told_of_answering_ = false;
     coordination::stream_intervals intervals_; ///< of the current server
     std::string last_event_id_;
+    /// A server, perhaps of an earlier attempt, has sent the start of the event after the last.
+    bool next_event_begun_ = false;
 };
 
 } // namespace auburnweir::transport
--- a/tests/unit/stream_end_test.cpp
+++ b/tests/unit/stream_end_test.cpp
@@ -51,6 +51,22 @@
     EXPECT_TRUE(is<stream_completed>());
 }
 
+// Guards against ORDER: a resumed run without events taken for the rest of a stream of which the
+// start of another event has come.
+TEST_F(stream_end_test, resumed_body_without_the_event_that_has_begun_is_truncated)
+{
+    end.is_resumed = true;
+    end.has_begun_next_event = true;
+    for (auto const proof : {body_proof::delimited, body_proof::outlived})
+    {
+        end.proof = proof;
+        end.has_events = false;
+        EXPECT_TRUE(is<stream_truncated>());
+        end.has_events = true;
+        EXPECT_TRUE(is<stream_completed>());
+    }
+}
+
 TEST_F(stream_end_test, delimited_body_of_another_type_is_complete)
 {
     end.is_event_stream = false;
