Tests of relayed responses that end early, and of ends that stand-ins play too kindly

A gateway that is cut off refuses nearly all requests once a server has been killed; the tests print that and don't check it.

--- a/tools/standins/routed_backend.cpp
+++ b/tools/standins/routed_backend.cpp
@@ -111,7 +111,8 @@
             co_await connection.writer.send(not_executed_response(503));
         if (repeat_refusals_ && not_run_)
             refused_ports_.insert(caller_port(connection));
-        if (not_run_ || (!expected_id.empty() && expected_id != id_))
+        bool const is_misdirected = !expected_id.empty() && expected_id != id_ && !accepts_any_id_;
+        if (not_run_ || is_misdirected)
         {
             auto response = not_executed_response(not_run_ ? 503 : 421);
             if (names_refusals_)
@@ -141,6 +142,14 @@
             co_await connection.writer.send(std::move(response));
             co_return;
         }
+        if (resumes_without_events_ && !request.header("Last-Event-Id").empty())
+        {
+            auto response = make_response(request, 200);
+            response.content_type = "text/event-stream";
+            co_await connection.writer.begin(std::move(response));
+            co_await connection.writer.end();
+            co_return;
+        }
         if (endless_ && !endless_->start.empty())
         {
             auto bytes = *endless_;
@@ -341,6 +350,9 @@
         end_after_ = protocol::integer_at(*body, "end_after", end_after_);
         if (body->contains("framing"))
             framing_ = decode_framing(protocol::text_at(*body, "framing"));
+        accepts_any_id_ = protocol::flag_at(*body, "accepts_any_id", accepts_any_id_);
+        resumes_without_events_ =
+            protocol::flag_at(*body, "resumes_without_events", resumes_without_events_);
         names_refusals_ = protocol::flag_at(*body, "names_refusals", names_refusals_);
         late_response_ = protocol::text_at(*body, "late_response", late_response_);
         if (body->contains("endless"))
@@ -370,6 +382,8 @@
     bool unframed_ = false;
     bool repeat_refusals_ = false;
     bool names_refusals_ = false;
+    bool accepts_any_id_ = false;         ///< runs requests that were meant for another server
+    bool resumes_without_events_ = false; ///< answers resumed streams with a last chunk alone
     std::string late_response_; ///< a copy of an earlier response, with the id of its request
     std::set<std::uint16_t> refused_ports_; ///< of callers that get the refusal once more
     std::optional<endless_bytes> endless_;
