Let tests see broken bodies, and the runs of servers that are killed

Cause: a killed server takes its counts of runs with it, a caller session drops a body that breaks off, and the proxy between gateways and servers passes a reset on as a FIN and knows no half-closed connections. Change: the backend stand-in appends its runs to a file (control field "run_log"), caller_session::call_for_parts returns what has arrived of a body and whether it is complete, and gateway_deployment_plan::direct_backends leaves the proxy out between gateways and servers alone.

--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -69,6 +69,39 @@
     received.status = response.value().status;
     received.body = std::move(response.value().body);
     received.headers = std::move(response.value().headers);
+    received.is_complete = true;
+    return received;
+}
+
+received_response caller_session::call_for_parts(
+    std::uint16_t port, std::string method, std::string target, header_list headers,
+    std::string body, int timeout_ms)
+{
+    constexpr std::size_t max_body_bytes = 1'000'000;
+    auto request =
+        make_call(std::move(method), std::move(target), std::move(headers), std::move(body));
+    state::endpoint to{"127.0.0.1", port};
+    auto const timeout = std::chrono::milliseconds{timeout_ms};
+    auto opened =
+        run_to_completion(*io_, client_->open(std::move(to), std::move(request), timeout));
+    received_response received;
+    if (!opened)
+        return received;
+    auto& stream = opened.value();
+    received.status = stream.status();
+    received.headers = stream.headers();
+    while (received.body.size() < max_body_bytes)
+    {
+        auto const part = run_to_completion(*io_, stream.read(timeout));
+        if (!part)
+            return received;
+        received.body += part.value();
+        if (!part.value().empty())
+            continue;
+        received.is_complete = true;
+        stream.keep_connection();
+        return received;
+    }
     return received;
 }
 
--- a/tests/support/caller.hpp
+++ b/tests/support/caller.hpp
@@ -21,6 +21,8 @@
     int status = 0; ///< 0: no response
     std::string body;
     transport::http_fields headers;
+    bool is_complete = false; ///< the last chunk or byte has arrived, or a body with neither
+                              ///< length nor chunks has ended with its connection
 
     json parsed() const { return json::parse(body, nullptr, false); }
     std::string header(std::string const& name) const
@@ -42,6 +44,12 @@
         std::uint16_t port, std::string method, std::string target, header_list headers = {},
         std::string body = {}, int timeout_ms = 30000);
 
+    /// As `call`, but returns a response whose body breaks off, with what has arrived of it, as one
+    /// that is not complete. `timeout_ms` applies to the header and to each part of the body.
+    received_response call_for_parts(
+        std::uint16_t port, std::string method, std::string target, header_list headers,
+        std::string body, int timeout_ms);
+
 private:
     std::unique_ptr<transport::net::io_context> io_;
     std::unique_ptr<transport::http_client> client_;
--- a/tests/support/gateway_deployment.cpp
+++ b/tests/support/gateway_deployment.cpp
@@ -59,7 +59,8 @@
     {
         backends_.push_back(std::make_unique<process>(
             std::vector{program_path("standin-routed-backend"), backend_name(i)}));
-        backend_proxy_ports_.push_back(proxied_port(backend(i).port()));
+        auto const port = backend(i).port();
+        backend_proxy_ports_.push_back(plan_.direct_backends ? port : proxied_port(port));
         list_backend(i);
     }
     configure();
@@ -188,7 +189,7 @@
         text << word_of(kind) << ' ' << backend_proxy_ports_.at(index) << "\n";
     text.close();
     std::filesystem::rename(new_file, cut_file(gateway));
-    bool const resets = proxy_ && kind == cut_kind::refused;
+    bool const resets = proxy_ && !plan_.direct_backends && kind == cut_kind::refused;
     if (!resets)
         return;
     for (auto const index : backends)
--- a/tests/support/gateway_deployment.hpp
+++ b/tests/support/gateway_deployment.hpp
@@ -24,6 +24,8 @@
     bool may_be_cut = false; ///< gateways can be cut off from the backends, see `cut_off`
     std::string log_folder;  ///< for the gateways' logs; empty: warnings alone, until the end
     int failure_domains = 1; ///< gateways and backends are assigned round-robin
+    /// With `proxied`: connections of gateways to backends do not pass the proxy.
+    bool direct_backends = false;
     std::map<std::string, std::string> settings; ///< of `[gateway]`, over the defaults
     int route_timeout_ms = 4000;
     json organisations = json::array();        ///< of each configuration
@@ -99,7 +101,8 @@
     /// `proxied`. The directory goes on naming the old one.
     void replace_backend(int index, std::string const& name);
 
-    /// Starts a process at the address of a backend that was killed. Only without `proxied`.
+    /// Starts a process at the address of a backend that was killed. Only without a proxy between
+    /// gateways and backends.
     /// @param born  start time that it reports; 0: it reports none
     void start_backend(int index, std::string const& name, std::int64_t born);
 
--- a/tools/standins/routed_backend.cpp
+++ b/tools/standins/routed_backend.cpp
@@ -1,6 +1,7 @@
 #include "http_standin.hpp"
 #include "state/body_framing.hpp"
 
+#include <fstream>
 #include <map>
 #include <optional>
 #include <set>
@@ -123,6 +124,8 @@
             co_return;
         }
         runs_[attempt] = runs_.value(attempt, 0) + 1;
+        if (run_log_.is_open())
+            run_log_ << attempt << std::endl;
         record_request(request);
         auto const prompt = request.header("Auburnweir-Prompt-Prefix");
         if (!crash_segment_.empty() && prompt.find(crash_segment_) != std::string::npos)
@@ -345,14 +348,28 @@
         late_response_ = protocol::text_at(*body, "late_response", late_response_);
         if (body->contains("endless"))
             endless_ = decode_endless(*body);
+        if (body->contains("run_log"))
+            open_run_log(protocol::text_at(*body, "run_log"));
         co_await send_status(connection, 200);
     }
 
+    /// Starts to append the attempt id of each run to a file, which outlives a kill of this
+    /// process. The runs so far go first.
+    void open_run_log(std::string const& path)
+    {
+        run_log_.open(path, std::ios::app);
+        for (auto const& [attempt, count] : runs_.items())
+            for (int i = 0; i < count.get<int>(); ++i)
+                run_log_ << attempt << '\n';
+        run_log_.flush();
+    }
+
     net::io_context& io_;
     std::string id_;
     std::string born_;
     std::int64_t questions_ = 0; ///< on its health
     json runs_ = json::object();
+    std::ofstream run_log_;
     json last_request_;
     json statements_ = json::object(); ///< headers of each response, by name
     std::string crash_segment_;        ///< a request with it ends the process; empty: none does
